Add the management listener, servers out by hand, drain and resume

The node holds the ids taken out apart from discovery's list; each id has a gate which every send passes with its first bytes, so that a disable returns once no send can follow. The module learns of both by EvDisable and EvEnable, and takes a server put back for a cold one. One lifecycle (serving, drained, leaving) serves drain and SIGTERM.

Rejected: marking the server "Terminating" in the node's copy of the list. The next list would undo it, and the module could not tell a server that returns cold from one that discovery has merely listed again.

--- a/internal/node/backends.go
+++ b/internal/node/backends.go
@@ -32,6 +32,7 @@
 	started int64
 	left    bool         // off the list; guarded by node.mu
 	heard   atomic.Int64 // attempts that something came back for
+	gate    *gate        // shut while operators have it out
 	stop    atomic.Int64 // Unix nanoseconds from which nothing new may be written to it; 0 for none
 
 	// Guarded by pool.mu.
@@ -80,17 +81,20 @@
 	case err != nil:
 		return result{outcome: policy.Canceled}
 	}
-	// A send is stopped that was given up, or whose backend's drain grace ended, while it waited for a connection.
-	if stop := b.stop.Load(); stop != 0 && time.Now().UnixNano() >= stop {
-		n.pool.put(c)
-		return result{outcome: policy.Moot}
-	}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil { // given up while it waited for a connection
 		n.pool.put(c)
 		return result{outcome: policy.Canceled}
 	}
 	giveUp := context.AfterFunc(ctx, func() { c.Close() })
-	sent, err := c.Write(text)
+	sent, err := b.write(c, text)
+	if errors.Is(err, errShut) {
+		if giveUp() {
+			n.pool.put(c)
+		} else {
+			n.pool.close(c)
+		}
+		return result{outcome: policy.Moot}
+	}
 	var resp *http.Response
 	var body []byte
 	if err == nil {
@@ -126,6 +130,31 @@
 	return n.judge(b, resp, body)
 }
 
+// errShut says that a backend was drained or taken out while a send to it waited for a connection.
+var errShut = errors.New("nothing new may be sent to this backend")
+
+// firstBytes is how much of a request is written behind the gate. An idle connection's buffer takes it at once, so
+// that whoever shuts the gate does not wait for the backend; and by its first byte a send counts.
+const firstBytes = 4 << 10
+
+// write sends a request, unless the backend may be sent nothing new.
+func (b *backend) write(c *backendConn, text []byte) (int, error) {
+	first := text[:min(len(text), firstBytes)]
+	b.gate.mu.RLock()
+	stop := b.stop.Load()
+	if b.gate.shut || stop != 0 && time.Now().UnixNano() >= stop {
+		b.gate.mu.RUnlock()
+		return 0, errShut
+	}
+	n, err := c.Write(first)
+	b.gate.mu.RUnlock()
+	if err != nil || len(first) == len(text) {
+		return n, err
+	}
+	m, err := c.Write(text[n:])
+	return n + m, err
+}
+
 // text is the request as it goes out, with the headers that PROTOCOL knows.
 func (a *attempt) text() ([]byte, error) {
 	in := a.request.in
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -64,6 +64,14 @@
 	closing bool      // it made room for another, or the node leaves
 }
 
+func newClients(n *node) *clients {
+	limit := n.cfg.shared() / 2
+	if n.cfg.Sockets == 0 {
+		limit = 1 << 20
+	}
+	return &clients{node: n, limit: limit, slots: make(chan struct{}, limit+limit/8), conns: map[*clientConn]struct{}{}}
+}
+
 // serve answers clients on ln until ctx ends and then until all that was taken is answered.
 func (n *node) serve(ctx context.Context, ln net.Listener) error {
 	var longest time.Duration // that a client waits
@@ -71,11 +79,7 @@
 		longest = max(longest, c.Deadline)
 	}
 	longest = cmp.Or(longest, 3*time.Second)
-	limit := (n.cfg.Sockets - ownSockets) / 2
-	if n.cfg.Sockets == 0 {
-		limit = 1 << 20
-	}
-	s := &clients{node: n, limit: limit, slots: make(chan struct{}, limit+limit/8), conns: map[*clientConn]struct{}{}}
+	s := n.clients
 	failed := make(chan error, 1)
 	go func() { failed <- s.accept(ln) }()
 	select {
@@ -83,7 +87,7 @@
 		return fmt.Errorf("serve: %w", err)
 	case <-ctx.Done():
 	}
-	n.leaving.Store(true)
+	n.life.enter(leaving)
 	n.log.Info("leaving: finishing what was taken")
 	// Connections go on coming for a while, and clients use those that they have: each answer now tells them
 	// to close, and only then is the listener closed.
@@ -205,7 +209,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.busy, c.used, c.since = busy, true, time.Now()
-	return !c.closing
+	return !c.closing && (busy || !s.node.life.sendsAway())
 }
 
 // rejection is the answer to a request that is not handed to the policy. Its connection is closed: what follows on
@@ -226,11 +230,11 @@
 		if r == nil {
 			return
 		}
-		if !s.mark(c, true) && !s.node.leaving.Load() {
+		if !s.mark(c, true) && !s.node.life.sendsAway() {
 			c.over = true
 		}
 		a, ok := s.answer(c, r)
-		last := r.in.Close || c.over || s.node.leaving.Load()
+		last := r.in.Close || c.over || s.node.life.sendsAway()
 		if !ok || c.write(r.in, a, last) != nil || last || !s.mark(c, false) {
 			return
 		}
@@ -388,15 +392,6 @@
 	}
 }
 
-func (n *node) readiness() int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if !n.ready || n.leaving.Load() {
-		return http.StatusServiceUnavailable
-	}
-	return http.StatusOK
-}
-
 // reject answers what is no request.
 func (c *clientConn) reject(no *rejection) {
 	if c.write(nil, answer{status: no.status, body: []byte(no.text + "\n")}, true) != nil {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 
+	"springflow/internal/mgmt"
 	"springflow/internal/wire"
 )
 
@@ -16,6 +17,7 @@
 	Name      string
 	Listen    string // where clients connect
 	Discovery string // where the list of backends comes from
+	Mgmt      string // where operators call; nobody can where it is empty
 	Seed      uint64
 	Cores     float64
 	MemoryMB  int
@@ -24,6 +26,15 @@
 	Settings  wire.Settings
 }
 
+// shared is how many descriptors clients and backends share.
+func (c *Config) shared() int {
+	own := ownSockets
+	if c.Mgmt != "" {
+		own += mgmt.MaxConns
+	}
+	return max(0, c.Sockets-own)
+}
+
 // Load reads the configuration from the GW_* variables and the file that GW_CONFIG names; a variable that is
 // set goes before the file. An error names the field that is at fault, on one line.
 func Load(getenv func(string) string) (Config, error) { return load(getenv, false) }
@@ -45,6 +56,7 @@
 		Name      string `json:"name"`
 		Listen    string `json:"listen"`
 		Discovery string `json:"discovery"`
+		Mgmt      string `json:"mgmt"`
 		Seed      string `json:"seed"`
 		Limits    struct {
 			Cores    float64 `json:"cores"`
@@ -57,12 +69,12 @@
 	if err := json.Unmarshal(text, &file); err != nil {
 		return Config{}, fmt.Errorf("GW_CONFIG: %w", err) // a wrong type's message names its field
 	}
-	cfg := Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Cores: file.Limits.Cores,
+	cfg := Config{Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Mgmt: file.Mgmt, Cores: file.Limits.Cores,
 		MemoryMB: file.Limits.MemoryMB, Sockets: file.Limits.Sockets, Known: file.Known}
 	for _, v := range []struct {
 		name  string
 		field *string
-	}{{"GW_NAME", &cfg.Name}, {"GW_LISTEN", &cfg.Listen}, {"GW_DISCOVERY", &cfg.Discovery}} {
+	}{{"GW_NAME", &cfg.Name}, {"GW_LISTEN", &cfg.Listen}, {"GW_DISCOVERY", &cfg.Discovery}, {"GW_MGMT", &cfg.Mgmt}} {
 		if again && v.field == &cfg.Discovery && cfg.Discovery != "" {
 			continue
 		}
@@ -70,7 +82,10 @@
 			*v.field = s
 		}
 	}
-	for _, f := range []struct{ name, addr string }{{"listen", cfg.Listen}, {"discovery", cfg.Discovery}} {
+	for _, f := range []struct{ name, addr string }{{"listen", cfg.Listen}, {"discovery", cfg.Discovery}, {"mgmt", cfg.Mgmt}} {
+		if f.name == "mgmt" && f.addr == "" {
+			continue
+		}
 		if _, _, err := net.SplitHostPort(f.addr); err != nil {
 			return Config{}, fmt.Errorf("%s: %q is not host:port", f.name, f.addr)
 		}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -228,7 +228,8 @@
 	}
 	for i := range l.Servers {
 		s := &l.Servers[i]
-		e := policy.Entry{Zone: s.Zone, Cell: s.Cell, Kind: s.Kind, Launched: time.Duration(s.StartedMS) * time.Millisecond}
+		e := policy.Entry{Zone: s.Zone, Cell: s.Cell, Kind: s.Kind,
+			Launched: max(time.Duration(s.StartedMS)*time.Millisecond, n.hand.returned[s.ID])}
 		switch s.State {
 		case "Ready":
 		case "Gone":
@@ -255,10 +256,10 @@
 				}
 			}
 			n.nextNum++
-			b = &backend{number: n.nextNum, id: s.ID, addr: s.Addr, started: s.StartedMS}
+			b = &backend{number: n.nextNum, id: s.ID, addr: s.Addr, started: s.StartedMS, gate: n.gate(s.ID)}
 		case b.started != s.StartedMS:
 			old := b
-			b = &backend{number: old.number, id: s.ID, addr: s.Addr, started: s.StartedMS} // the policy tells the two apart by the start
+			b = &backend{number: old.number, id: s.ID, addr: s.Addr, started: s.StartedMS, gate: old.gate} // the policy tells the two apart by the start
 			n.pool.clear(old, true)
 		}
 		n.names[s.ID], n.backends[b.number] = b, b
@@ -282,6 +283,7 @@
 		}
 	}
 	n.handle(now, &policy.Event{Kind: policy.EvList, List: kind, Entries: entries})
+	n.hand.listed(n, now)
 	n.ready = false
 	for _, b := range n.names {
 		n.ready = n.ready || b.stop.Load() == 0
--- /dev/null
+++ b/internal/node/hand.go
@@ -0,0 +1,102 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"springflow/internal/mgmt"
+	"springflow/policy"
+)
+
+// gate is what each send to one web server passes with its first bytes. It belongs to the id: a web server that
+// restarts, or moves to another address, stays behind the same one.
+type gate struct {
+	mu   sync.RWMutex
+	shut bool
+}
+
+// set opens or shuts the gate. Once it has returned from shutting it, no send that began before is still to come.
+func (g *gate) set(shut bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.shut = shut
+}
+
+// hand is which web servers operators took out, by discovery's ids. It is held apart from what discovery tells,
+// which can neither undo nor forget it.
+type hand struct {
+	order    sync.Mutex               // held for the whole of a call: they come one after the other
+	disabled map[string]bool          // guarded by node.mu
+	returned map[string]time.Duration // when an id was put back: it counts as started then. Guarded by node.mu
+}
+
+// Disable takes a web server out of service; one that is out already needs no more.
+func (n *node) Disable(_ context.Context, id string) error { return n.setDisabled(id, true) }
+
+// Enable puts a web server back. It counts as cold.
+func (n *node) Enable(_ context.Context, id string) error { return n.setDisabled(id, false) }
+
+func (n *node) setDisabled(id string, out bool) error {
+	n.hand.order.Lock()
+	defer n.hand.order.Unlock()
+	b, known := n.disable(id, out)
+	if !known {
+		return mgmt.ErrUnknown
+	}
+	if b != nil {
+		b.gate.set(out) // not under node.mu: it waits for what is being written
+	}
+	return nil
+}
+
+// disable books what operators said of an id and tells the policy. It returns the backend listed under it, if any.
+func (n *node) disable(id string, out bool) (*backend, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	b := n.names[id]
+	was := n.hand.disabled[id]
+	if b == nil && !was {
+		return nil, false
+	}
+	if was == out {
+		return b, true
+	}
+	now := n.clock.now()
+	ev := policy.Event{Kind: policy.EvEnable}
+	if out {
+		ev.Kind = policy.EvDisable
+		n.hand.disabled[id] = true
+	} else {
+		delete(n.hand.disabled, id)
+		n.hand.returned[id] = now
+	}
+	if b != nil {
+		ev.Server = b.number
+		n.handle(now, &ev)
+	}
+	return b, true
+}
+
+// listed is called with each list that the policy was handed: a web server out by hand is out also under another
+// number. n.mu is held.
+func (h *hand) listed(n *node, now time.Duration) {
+	for id := range h.disabled {
+		if b := n.names[id]; b != nil {
+			n.handle(now, &policy.Event{Kind: policy.EvDisable, Server: b.number})
+		}
+	}
+	for id, at := range h.returned {
+		if now-at > n.cfg.Settings.Policy.ColdFor {
+			delete(h.returned, id)
+		}
+	}
+}
+
+// gate returns the gate of an id. n.mu is held.
+func (n *node) gate(id string) *gate {
+	if b := n.names[id]; b != nil {
+		return b.gate
+	}
+	return &gate{shut: n.hand.disabled[id]}
+}
--- /dev/null
+++ b/internal/node/lifecycle.go
@@ -0,0 +1,100 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// phase says what a node does with the clients' connections. One lifecycle serves all that sends clients away: an
+// operator's drain, SIGTERM and a successor.
+type phase uint8
+
+const (
+	serving phase = iota
+	drained       // operators sent the clients away; they can call them back
+	leaving       // SIGTERM has come: no way back
+)
+
+// lifecycle holds the phase. While it is not serving each answer tells its client to close, and connections that
+// carry no request are closed; what was taken is answered all the same.
+type lifecycle struct {
+	mu    sync.Mutex
+	phase phase
+	since time.Time // when clients were first sent away
+}
+
+// sendsAway tells whether clients are to close their connections.
+func (l *lifecycle) sendsAway() bool { return l.now() != serving }
+
+func (l *lifecycle) now() phase {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.phase
+}
+
+// enter goes to another phase and tells whether that was a step: there is none back from leaving.
+func (l *lifecycle) enter(p phase) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.phase == p || l.phase == leaving {
+		return false
+	}
+	if l.phase == serving {
+		l.since = time.Now()
+	}
+	l.phase = p
+	return true
+}
+
+var errLeaving = errors.New("this process is leaving")
+
+// Drain sends the clients away. What was taken is answered.
+func (n *node) Drain(context.Context) error {
+	if n.life.now() == leaving {
+		return nil // it does so already
+	}
+	if n.life.enter(drained) {
+		n.log.Info("drained by hand: clients are sent away")
+		// The front notices after a while; until then clients use the connections that they have.
+		time.AfterFunc(acceptFor, func() {
+			if n.life.sendsAway() {
+				n.clients.closeAll(false)
+			}
+		})
+	}
+	return nil
+}
+
+// Resume ends a drain.
+func (n *node) Resume(context.Context) error {
+	if n.life.now() == leaving {
+		return errLeaving
+	}
+	if n.life.enter(serving) {
+		n.log.Info("resumed by hand")
+	}
+	return nil
+}
+
+var errNotReady = errors.New("no web server is listed, or clients are sent away")
+
+// Ready tells whether this process takes clients.
+func (n *node) Ready() error {
+	if n.readiness() != http.StatusOK {
+		return errNotReady
+	}
+	return nil
+}
+
+// readiness is the answer to GET /ready.
+func (n *node) readiness() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.ready || n.life.sendsAway() {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusOK
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,9 +12,9 @@
 	"runtime"
 	"runtime/debug"
 	"sync"
-	"sync/atomic"
 	"time"
 
+	"springflow/internal/mgmt"
 	"springflow/policy"
 )
 
@@ -35,7 +35,9 @@
 	clock   clock
 	pool    *pool
 	effects map[string]policy.Effect // of the classes that there are
-	leaving atomic.Bool              // SIGTERM has come
+	life    lifecycle
+	hand    hand
+	clients *clients
 
 	ctx context.Context // ends when the node does; attempts and watches hang on it
 	wg  sync.WaitGroup  // attempts and calls to discovery
@@ -100,6 +102,13 @@
 		return errors.Join(err, ln.Close())
 	}
 	defer stop()
+	if cfg.Mgmt != "" {
+		ln, err := (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp", cfg.Mgmt)
+		if err != nil {
+			return fmt.Errorf("mgmt: %w", err)
+		}
+		defer mgmt.Serve(ln, n, log).Close()
+	}
 	go func() {
 		for {
 			select {
@@ -121,11 +130,13 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{cfg: cfg, log: log, clock: clock{time.Now()}, ctx: ctx, bal: bal, requests: map[string]*request{},
-		names: map[string]*backend{}, backends: map[uint32]*backend{}, effects: map[string]policy.Effect{}}
+		names: map[string]*backend{}, backends: map[uint32]*backend{}, effects: map[string]policy.Effect{},
+		hand: hand{disabled: map[string]bool{}, returned: map[string]time.Duration{}}}
 	for _, c := range cfg.Settings.Policy.Classes {
 		n.effects[c.Name] = c.Effect
 	}
 	n.pool = newPool(cfg)
+	n.clients = newClients(n)
 	n.disc = newDiscovery(n, cfg.Discovery)
 	// The list can start a watch at once, whose answer must not be taken in before the list is.
 	n.mu.Lock()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -721,7 +721,7 @@
 	wait(t, "the request at the backend", func() bool { return len(b.requests()) == 1 })
 	late, silent := r.dial(t), r.dial(t)
 	r.leave()
-	wait(t, "the node's leaving", r.leaving.Load)
+	wait(t, "the node's leaving", r.life.sendsAway)
 	if resp, body := late.ask(quote("late")); resp.StatusCode != 200 || body != "done late" || !resp.Close {
 		t.Errorf("a request after SIGTERM: %d %q, close %v", resp.StatusCode, body, resp.Close)
 	}
--- /dev/null
+++ b/internal/node/operation_test.go
@@ -0,0 +1,143 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"springflow/internal/mgmt"
+)
+
+// lists hands the node a whole list.
+func (r *rig) lists(version int64, servers ...listed) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.takeList(&list{Version: version, Full: true, Servers: servers}, 1)
+}
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A web server out by hand gets nothing, whatever discovery says of it meanwhile; two calls out need one back.
+func TestOutByHand(t *testing.T) {
+	t.Parallel()
+	ctx := context.Background()
+	a, b := newBox(t, served), newBox(t, served)
+	r := newRig(t, newRegistry(t), settingsJSON, nil, a.entry("s-1"), b.entry("s-2"))
+	c := r.dial(t)
+	n := 0
+	ask := func(times int) {
+		t.Helper()
+		for range times {
+			n++
+			if resp, _ := c.ask(view(fmt.Sprint("v", n))); resp.StatusCode != 200 {
+				t.Fatalf("request %d: %d", n, resp.StatusCode)
+			}
+		}
+	}
+	if err := r.Disable(ctx, "s-9"); !errors.Is(err, mgmt.ErrUnknown) {
+		t.Errorf("an id that nobody has: %v", err)
+	}
+	if err := r.Enable(ctx, "s-9"); !errors.Is(err, mgmt.ErrUnknown) {
+		t.Errorf("an id that nobody has, back: %v", err)
+	}
+	must(t, r.Disable(ctx, "s-1"))
+	must(t, r.Disable(ctx, "s-1"))
+	before := len(a.requests())
+	ask(20)
+	r.lists(2, a.entry("s-1"), b.entry("s-2"))
+	ask(20)
+	restarted := a.entry("s-1")
+	restarted.StartedMS = time.Now().UnixMilli()
+	r.lists(3, restarted, b.entry("s-2"))
+	ask(20)
+	r.lists(4, b.entry("s-2"))
+	must(t, r.Disable(ctx, "s-1")) // known still, though not listed
+	moved := newBox(t, served)
+	r.lists(5, moved.entry("s-1"), b.entry("s-2"))
+	ask(20)
+	if got := len(a.requests()) - before + len(moved.requests()); got != 0 {
+		t.Errorf("%d requests to a web server that is out by hand", got)
+	}
+	must(t, r.Enable(ctx, "s-1"))
+	must(t, r.Enable(ctx, "s-1"))
+	r.lists(6, moved.entry("s-1"))
+	wait(t, "a request at the web server put back", func() bool { // it is cold, and gets a few
+		n++
+		c.ask(view(fmt.Sprint("v", n)))
+		return len(moved.requests()) > 0
+	})
+}
+
+// Once Disable has returned, not even a send that was on its way before is written.
+func TestDisableStopsWhatIsOnItsWay(t *testing.T) {
+	t.Parallel()
+	b := newBox(t, served)
+	r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
+	conn, err := net.Dial("tcp", b.ln.Addr().String())
+	must(t, err)
+	defer conn.Close()
+	r.mu.Lock()
+	back := r.names["s-1"]
+	r.mu.Unlock()
+	must(t, r.Disable(context.Background(), "s-1"))
+	if n, err := back.write(&backendConn{Conn: conn}, []byte("GET")); n != 0 || !errors.Is(err, errShut) {
+		t.Errorf("wrote %d bytes, %v", n, err)
+	}
+}
+
+// A drain closes the connections with no request, tells the others to close, answers all, and can be taken back.
+func TestDrainAndResume(t *testing.T) {
+	t.Parallel()
+	ctx := context.Background()
+	release := make(chan struct{})
+	b := newBox(t, firstHeld(release))
+	r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
+	busy, idle := r.dial(t), r.dial(t)
+	busy.send(quote("slow").text())
+	wait(t, "the request at the backend", func() bool { return len(b.requests()) == 1 })
+	if resp, _ := idle.ask(view("v")); resp.StatusCode != 200 || resp.Close {
+		t.Fatalf("before the drain: %d, close %v", resp.StatusCode, resp.Close)
+	}
+	late := r.dial(t)
+	must(t, r.Drain(ctx))
+	must(t, r.Drain(ctx))
+	if s := ready(t, r); s != http.StatusServiceUnavailable {
+		t.Errorf("ready in a drain: %d", s)
+	}
+	if resp, _ := late.ask(view("late")); resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("a request in a drain: %d, close %v; want it served and a close", resp.StatusCode, resp.Close)
+	}
+	if _, err := idle.in.ReadByte(); err != io.EOF {
+		t.Errorf("an idle connection in a drain: %v, want it closed", err)
+	}
+	close(release)
+	if resp, body := busy.answer(); resp.StatusCode != 200 || body != "done slow" || !resp.Close {
+		t.Errorf("the request taken before: %d %q, close %v", resp.StatusCode, body, resp.Close)
+	}
+	must(t, r.Resume(ctx))
+	must(t, r.Resume(ctx))
+	if s := ready(t, r); s != http.StatusOK {
+		t.Errorf("ready after it: %d", s)
+	}
+	c := r.dial(t)
+	for _, id := range []string{"x", "y"} {
+		if resp, _ := c.ask(view(id)); resp.StatusCode != 200 || resp.Close {
+			t.Errorf("after the drain: %d, close %v", resp.StatusCode, resp.Close)
+		}
+	}
+	r.leave()
+	wait(t, "the node's leaving", r.life.sendsAway)
+	if err := r.Resume(ctx); err == nil {
+		t.Error("a node that leaves was resumed")
+	}
+}
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -33,7 +33,7 @@
 }
 
 func newPool(cfg Config) *pool {
-	p := &pool{limit: (cfg.Sockets - ownSockets) * 3 / 8}
+	p := &pool{limit: cfg.shared() * 3 / 8}
 	if cfg.Sockets == 0 {
 		p.limit = 1 << 20
 	}
--- a/policy/api.go
+++ b/policy/api.go
@@ -126,6 +126,8 @@
 	EvGone                     // the client gave up
 	EvList                     // news of the server list
 	EvTimer                    // a timer set by ActTimer is due
+	EvDisable                  // operators took a server out: nothing new to it, whatever the list says
+	EvEnable                   // and put it back: it may have been restarted meanwhile, and counts as cold
 	EvOther                    // anything the policy does not act on
 )
 
@@ -188,7 +190,7 @@
 	Tenant  string        // EvRequest
 	Left    time.Duration // EvRequest: the client gives up after this
 	Repeat  bool          // EvRequest: a client's repeat of its earlier try, where clients say so
-	Server  uint32        // EvOutcome
+	Server  uint32        // EvOutcome, EvDisable, EvEnable
 	Attempt int           // EvOutcome: number of the attempt, from 0 in the order of the sends
 	Took    time.Duration // EvOutcome: since the send
 	Last    bool          // EvOutcome: the request is finished
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -85,6 +85,12 @@
 		b.gone(ev)
 	case EvList:
 		b.list(t, ev)
+	case EvDisable:
+		if s := b.servers[ev.Server]; s != nil {
+			s.disabled = true
+		}
+	case EvEnable:
+		b.enable(t, ev)
 	case EvTimer:
 		b.plan(t)
 		if b.askAt > 0 && t >= b.askAt {
@@ -419,7 +425,10 @@
 
 // usable tells whether a request may go to a backend at all, whatever its mode.
 func (b *Balancer) usable(now float64, r *request, s *server) bool {
-	if s.State != Active && now >= s.grace || now < s.ejected || s.trial && s.own > 0 || s == r.avoid {
+	if s.disabled || s.State != Active && now >= s.grace {
+		return false
+	}
+	if now < s.ejected || s.trial && s.own > 0 || s == r.avoid {
 		return false
 	}
 	m, group := r.mayRun, r.class.Group
@@ -568,12 +577,39 @@
 	for _, e := range ev.Entries {
 		s := b.servers[e.ID]
 		if s == nil || e.Launched.Seconds() > s.launched && e.State == Active {
-			s = &server{launched: e.Launched.Seconds(), room: math.Inf(1), base: math.Inf(1), reportAt: now,
-				ownAt: now, lastOK: now}
+			disabled := s != nil && s.disabled // a restart does not put it back
+			s = started(now, e.Launched.Seconds())
+			s.disabled = disabled
 			b.servers[e.ID] = s
 		}
 		s.Entry, s.grace = e, 0
 	}
+	b.arrange()
+	b.plan(now)
+}
+
+// started is what is known of a server that was started at the given time.
+func started(now, launched float64) *server {
+	return &server{launched: launched, room: math.Inf(1), base: math.Inf(1), reportAt: now, ownAt: now,
+		lastOK: now}
+}
+
+// enable puts a server back that operators had taken out. They may have restarted it, which the list tells
+// late or not at all: it is taken for one that starts now.
+func (b *Balancer) enable(now float64, ev *Event) {
+	old := b.servers[ev.Server]
+	if old == nil || !old.disabled {
+		return
+	}
+	s := started(now, now)
+	s.Entry, s.grace = old.Entry, old.grace
+	b.servers[ev.Server] = s // attempts that are out keep their own hold on the old one
+	b.arrange()
+	b.plan(now)
+}
+
+// arrange drops the servers that have left and puts the others in the order of their ids.
+func (b *Balancer) arrange() {
 	b.order = b.order[:0]
 	for id, s := range b.servers {
 		if s.State == Left {
@@ -583,5 +619,4 @@
 		}
 	}
 	slices.SortFunc(b.order, func(x, y *server) int { return cmp.Compare(x.ID, y.ID) })
-	b.plan(now)
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1142,3 +1142,34 @@
 		t.Errorf("this node's part is %.2f, want %.2f", b.part, want)
 	}
 }
+
+// A server that operators took out gets nothing, not even when the list tells of a restart or names it anew; put back
+// it counts as cold, and an older start in the list does not change that.
+func TestDisabledServer(t *testing.T) {
+	one := Entry{ID: 1, Zone: "a"}
+	b := node(t, settings(), one)
+	b.Handle(t0, &Event{Kind: EvDisable, Server: 1}, nil)
+	b.Handle(t0, &Event{Kind: EvDisable, Server: 7}, nil)
+	b.Handle(t0, &Event{Kind: EvEnable, Server: 7}, nil)
+	list := func(now, launched time.Duration) {
+		one.Launched = launched
+		b.Handle(now, &Event{Kind: EvList, List: ListFull, Entries: []Entry{one}}, nil)
+	}
+	for i, tell := range []func(){func() {}, func() { list(t0+1, t0) }, func() { list(t0+2, t0+1) }} {
+		tell()
+		if out := ask(b, t0+2, strconv.Itoa(i), "low"); out.Kind != ActRefuse {
+			t.Errorf("%d: %+v of a server that is out", i, out)
+		}
+	}
+	now := t0 + 20*time.Second
+	b.Handle(now, &Event{Kind: EvEnable, Server: 1}, nil)
+	b.Handle(now, &Event{Kind: EvEnable, Server: 1}, nil)
+	list(now, now-5*time.Second)
+	if got := b.ramp(b.servers[1], now.Seconds()); got != 0.25 {
+		t.Errorf("ramp %v once it is back, want that of a cold one, 0.25", got)
+	}
+	later := now + 11*time.Second
+	if out := ask(b, later, "later", "low"); out.Kind != ActSend {
+		t.Errorf("once warm: %+v", out)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -49,6 +49,7 @@
 	Entry
 	launched  float64
 	grace     float64 // not listed any more, but used until then: the list came empty
+	disabled  bool    // taken out by operators
 	mode      mode
 	own       float64 // this node's attempts in flight
 	ownLag    float64 // the same, at about the time of the latest report
