Replace the process under load: handover over a Unix socket

Where GW_ACCEPT_FD names the clients' listening socket, a process listens on $TMPDIR/portstall.sock. As long as both run, an operator's call to either is carried out in both, and each uses half of the descriptors and memory.

Rejected: passing client connections over with SCM_RIGHTS.

--- a/cmd/craneglade/main_test.go
+++ b/cmd/craneglade/main_test.go
@@ -158,6 +158,7 @@
 // program is a craneglade that runs and is ready.
 type program struct {
 	addr, config string
+	mgmt         string
 	cmd          *exec.Cmd
 	log          logText
 	exited       chan error
@@ -166,16 +167,25 @@
 // start starts one with discovery in GW_DISCOVERY and inFile in its file.
 func start(t *testing.T, discovery, inFile string) *program {
 	t.Helper()
-	p := &program{addr: freeAddr(t), config: write(t, config(inFile)), cmd: exec.Command(built(t)), exited: make(chan error, 1)}
+	p := &program{addr: freeAddr(t), config: write(t, config(inFile)), cmd: exec.Command(built(t))}
+	p.run(t, "GW_LISTEN="+p.addr, "GW_DISCOVERY="+discovery)
+	return p
+}
+
+// run runs the program and returns once operators are told that it takes clients.
+func (p *program) run(t *testing.T, env ...string) {
+	t.Helper()
+	p.mgmt, p.exited = freeAddr(t), make(chan error, 1)
 	p.cmd.Stderr = &p.log
-	p.cmd.Env = append(os.Environ(), "GW_NAME=n0", "GW_LISTEN="+p.addr, "GW_DISCOVERY="+discovery, "GW_CONFIG="+p.config)
+	p.cmd.Env = append(os.Environ(), "GW_NAME=n0", "GW_CONFIG="+p.config, "GW_MGMT="+p.mgmt)
+	p.cmd.Env = append(p.cmd.Env, env...)
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { p.cmd.Process.Kill() })
 	go func() { p.exited <- p.cmd.Wait() }()
 	ready := func() bool {
-		resp, err := http.Get("http://" + p.addr + "/ready")
+		resp, err := http.Get("http://" + p.mgmt + "/-/ready")
 		if err != nil {
 			return false
 		}
@@ -189,10 +199,22 @@
 		default:
 		}
 		if time.Now().After(end) {
-			t.Fatal("not ready")
+			t.Fatalf("not ready\n%s", p.log.String())
 		}
 	}
-	return p
+}
+
+// call makes an operator's call.
+func (p *program) call(t *testing.T, path string) {
+	t.Helper()
+	resp, err := http.Post("http://"+p.mgmt+path, "", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != 200 {
+		t.Errorf("%s: answered %d", path, resp.StatusCode)
+	}
 }
 
 // ask wants a request under id served.
--- a/internal/node/backends.go
+++ b/internal/node/backends.go
@@ -30,6 +30,7 @@
 	id      string
 	addr    string
 	started int64
+	entry   listed       // as discovery last told it; guarded by node.mu
 	left    bool         // off the list; guarded by node.mu
 	heard   atomic.Int64 // attempts that something came back for
 	gate    *gate        // shut while operators have it out
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -58,6 +58,7 @@
 
 	// Guarded by clients.mu.
 	begun   time.Time // when the first byte of its first request was seen
+	reading bool      // the first byte of a request is there, the last is not
 	busy    bool      // a request is being answered
 	used    bool      // one has been
 	since   time.Time // when it came or its last request was answered
@@ -65,13 +66,17 @@
 }
 
 func newClients(n *node) *clients {
-	limit := n.cfg.shared() / 2
-	if n.cfg.Sockets == 0 {
-		limit = 1 << 20
-	}
+	limit := n.cfg.clientLimit()
 	return &clients{node: n, limit: limit, slots: make(chan struct{}, limit+limit/8), conns: map[*clientConn]struct{}{}}
 }
 
+// resize sets how many connections there may be. Where there are more, each new one makes room for itself.
+func (s *clients) resize(limit int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = limit
+}
+
 // serve answers clients on ln until ctx ends and then until all that was taken is answered.
 func (n *node) serve(ctx context.Context, ln net.Listener) error {
 	var longest time.Duration // that a client waits
@@ -82,19 +87,24 @@
 	s := n.clients
 	failed := make(chan error, 1)
 	go func() { failed <- s.accept(ln) }()
+	n.takeOver()
+	defer n.pair.close()
+	var err error
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serve: %w", err)
+	case <-n.pair.succeeded: // by a process that accepts on the same socket
+		err = n.stopAccepting(ln, failed)
+		n.life.enter(leaving)
+		n.log.Info("a successor serves: finishing what was taken")
+		time.Sleep(acceptFor)
 	case <-ctx.Done():
-	}
-	n.life.enter(leaving)
-	n.log.Info("leaving: finishing what was taken")
-	// Connections go on coming for a while, and clients use those that they have: each answer now tells them
-	// to close, and only then is the listener closed.
-	time.Sleep(acceptFor)
-	err := ln.Close()
-	if e := <-failed; !errors.Is(e, net.ErrClosed) {
-		err = errors.Join(err, e)
+		n.life.enter(leaving)
+		n.log.Info("leaving: finishing what was taken")
+		// Connections go on coming for a while, and clients use those that they have: each answer now tells them
+		// to close, and only then is the listener closed.
+		time.Sleep(acceptFor)
+		err = n.stopAccepting(ln, failed)
 	}
 	s.closeAll(false) // the clients of those on which no request has come turn to other nodes
 	done := make(chan struct{})
@@ -111,6 +121,17 @@
 	return err
 }
 
+// stopAccepting closes the listener and waits until accept has returned: what it has taken from the socket by then is
+// served.
+func (n *node) stopAccepting(ln net.Listener, failed <-chan error) error {
+	defer close(n.pair.stopped)
+	err := ln.Close()
+	if e := <-failed; !errors.Is(e, net.ErrClosed) {
+		err = errors.Join(err, e)
+	}
+	return err
+}
+
 // accept takes in connections until ln is closed.
 func (s *clients) accept(ln net.Listener) error {
 	for {
@@ -198,8 +219,8 @@
 	for c := range s.conns {
 		if cut {
 			c.Close()
-		} else if !c.busy {
-			s.drop(c)
+		} else if !c.busy && !c.reading && pending(c.Conn) == nothing {
+			s.drop(c) // with a request on its way it closes behind that one's answer
 		}
 	}
 }
@@ -208,7 +229,7 @@
 func (s *clients) mark(c *clientConn, busy bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.busy, c.used, c.since = busy, true, time.Now()
+	c.busy, c.used, c.reading, c.since = busy, true, false, time.Now()
 	return !c.closing && (busy || !s.node.life.sendsAway())
 }
 
@@ -254,13 +275,15 @@
 		return nil, nil
 	}
 	r := &request{arrived: time.Now()}
+	s.mu.Lock()
+	c.reading = true
+	if !c.used {
+		c.begun = r.arrived
+	}
+	s.mu.Unlock()
 	if c.used {
 		end = r.arrived.Add(headTime)
 		s.deadline(c, end)
-	} else {
-		s.mu.Lock()
-		c.begun = r.arrived
-		s.mu.Unlock()
 	}
 	in, err := http.ReadRequest(c.in)
 	switch {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -7,6 +7,7 @@
 	"hash/fnv"
 	"net"
 	"os"
+	"strconv"
 
 	"springflow/internal/mgmt"
 	"springflow/internal/wire"
@@ -18,6 +19,7 @@
 	Listen    string // where clients connect
 	Discovery string // where the list of backends comes from
 	Mgmt      string // where operators call; nobody can where it is empty
+	AcceptFD  int    // descriptor of the clients' listening socket where another process holds it; else 0
 	Seed      uint64
 	Cores     float64
 	MemoryMB  int
@@ -26,8 +28,15 @@
 	Settings  wire.Settings
 }
 
+// clientLimit is how many of the descriptors are for clients, poolLimit for backends. The rest is a reserve.
+func (c *Config) clientLimit() int { return c.shared() / 2 }
+func (c *Config) poolLimit() int   { return c.shared() * 3 / 8 }
+
 // shared is how many descriptors clients and backends share.
 func (c *Config) shared() int {
+	if c.Sockets == 0 {
+		return 1 << 21 // no limit was told
+	}
 	own := ownSockets
 	if c.Mgmt != "" {
 		own += mgmt.MaxConns
@@ -82,6 +91,11 @@
 			*v.field = s
 		}
 	}
+	if s := getenv("GW_ACCEPT_FD"); s != "" {
+		if cfg.AcceptFD, err = strconv.Atoi(s); err != nil || cfg.AcceptFD < 3 {
+			return Config{}, fmt.Errorf("GW_ACCEPT_FD: %q is no descriptor", s)
+		}
+	}
 	for _, f := range []struct{ name, addr string }{{"listen", cfg.Listen}, {"discovery", cfg.Discovery}, {"mgmt", cfg.Mgmt}} {
 		if f.name == "mgmt" && f.addr == "" {
 			continue
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -262,6 +262,7 @@
 			b = &backend{number: old.number, id: s.ID, addr: s.Addr, started: s.StartedMS, gate: old.gate} // the policy tells the two apart by the start
 			n.pool.clear(old, true)
 		}
+		b.entry = *s
 		n.names[s.ID], n.backends[b.number] = b, b
 		e.ID = b.number
 		entries = append(entries, e)
@@ -270,7 +271,7 @@
 			b.left = false
 			b.stop.Store(0)
 		case policy.Leaving:
-			n.drain(b)
+			n.drainBackend(b)
 		case policy.Left:
 			n.drop(b)
 		}
@@ -290,8 +291,8 @@
 	}
 }
 
-// drain lets nothing new be written to a backend once its grace is over, less the time that the news took.
-func (n *node) drain(b *backend) {
+// drainBackend lets nothing new be written to a backend once its grace is over, less the time that the news took.
+func (n *node) drainBackend(b *backend) {
 	grace := n.cfg.Settings.Policy.DrainGrace * 9 / 10
 	b.stop.CompareAndSwap(0, time.Now().Add(grace).UnixNano())
 }
@@ -303,7 +304,7 @@
 		return
 	}
 	b.left = true
-	n.drain(b)
+	n.drainBackend(b)
 	stop := b.stop.Load()
 	time.AfterFunc(n.cfg.Settings.Policy.DrainGrace, func() {
 		n.mu.Lock()
--- a/internal/node/hand.go
+++ b/internal/node/hand.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"springflow/internal/mgmt"
+	"springflow/internal/upgrade"
 	"springflow/policy"
 )
 
@@ -32,50 +33,62 @@
 }
 
 // Disable takes a web server out of service; one that is out already needs no more.
-func (n *node) Disable(_ context.Context, id string) error { return n.setDisabled(id, true) }
+func (n *node) Disable(ctx context.Context, id string) error {
+	return n.byHand(ctx, upgrade.Order{Call: upgrade.Disable, ID: id})
+}
 
 // Enable puts a web server back. It counts as cold.
-func (n *node) Enable(_ context.Context, id string) error { return n.setDisabled(id, false) }
+func (n *node) Enable(ctx context.Context, id string) error {
+	return n.byHand(ctx, upgrade.Order{Call: upgrade.Enable, ID: id})
+}
 
-func (n *node) setDisabled(id string, out bool) error {
-	n.hand.order.Lock()
-	defer n.hand.order.Unlock()
-	b, known := n.disable(id, out)
-	if !known {
+// byHand carries out a call here and in the process that shares this node, if there is one.
+func (n *node) byHand(ctx context.Context, o upgrade.Order) error {
+	o.At = int64(n.clock.now())
+	if !n.knows(o.ID) {
 		return mgmt.ErrUnknown
 	}
-	if b != nil {
+	n.setDisabled(o)
+	return n.pair.tell(ctx, o)
+}
+
+// knows tells whether some web server has the id, or had it when it was taken out.
+func (n *node) knows(id string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.names[id] != nil || n.hand.disabled[id]
+}
+
+func (n *node) setDisabled(o upgrade.Order) {
+	n.hand.order.Lock()
+	defer n.hand.order.Unlock()
+	out := o.Call == upgrade.Disable
+	if b := n.disable(o.ID, out, time.Duration(o.At)); b != nil {
 		b.gate.set(out) // not under node.mu: it waits for what is being written
 	}
-	return nil
 }
 
 // disable books what operators said of an id and tells the policy. It returns the backend listed under it, if any.
-func (n *node) disable(id string, out bool) (*backend, bool) {
+func (n *node) disable(id string, out bool, at time.Duration) *backend {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	b := n.names[id]
-	was := n.hand.disabled[id]
-	if b == nil && !was {
-		return nil, false
-	}
-	if was == out {
-		return b, true
+	if n.hand.disabled[id] == out {
+		return b
 	}
-	now := n.clock.now()
 	ev := policy.Event{Kind: policy.EvEnable}
 	if out {
 		ev.Kind = policy.EvDisable
 		n.hand.disabled[id] = true
 	} else {
 		delete(n.hand.disabled, id)
-		n.hand.returned[id] = now
+		n.hand.returned[id] = at
 	}
 	if b != nil {
 		ev.Server = b.number
-		n.handle(now, &ev)
+		n.handle(n.clock.now(), &ev)
 	}
-	return b, true
+	return b
 }
 
 // listed is called with each list that the policy was handed: a web server out by hand is out also under another
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"springflow/internal/upgrade"
 )
 
 // phase says what a node does with the clients' connections. One lifecycle serves all that sends clients away: an
@@ -52,10 +54,12 @@
 var errLeaving = errors.New("this process is leaving")
 
 // Drain sends the clients away. What was taken is answered.
-func (n *node) Drain(context.Context) error {
-	if n.life.now() == leaving {
-		return nil // it does so already
-	}
+func (n *node) Drain(ctx context.Context) error {
+	n.drain()
+	return n.pair.tell(ctx, upgrade.Order{Call: upgrade.Drain})
+}
+
+func (n *node) drain() {
 	if n.life.enter(drained) {
 		n.log.Info("drained by hand: clients are sent away")
 		// The front notices after a while; until then clients use the connections that they have.
@@ -65,25 +69,30 @@
 			}
 		})
 	}
-	return nil
 }
 
 // Resume ends a drain.
-func (n *node) Resume(context.Context) error {
-	if n.life.now() == leaving {
+func (n *node) Resume(ctx context.Context) error {
+	if n.life.now() == leaving && !n.pair.hasHeir() {
 		return errLeaving
 	}
+	n.resume()
+	return n.pair.tell(ctx, upgrade.Order{Call: upgrade.Resume})
+}
+
+func (n *node) resume() {
 	if n.life.enter(serving) {
 		n.log.Info("resumed by hand")
 	}
-	return nil
 }
 
-var errNotReady = errors.New("no web server is listed, or clients are sent away")
+var errNotReady = errors.New("it starts, knows no web server that is ready, or sends clients away")
 
 // Ready tells whether this process takes clients.
 func (n *node) Ready() error {
-	if n.readiness() != http.StatusOK {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.ready || n.life.sendsAway() || !n.pair.up.Load() {
 		return errNotReady
 	}
 	return nil
@@ -93,7 +102,7 @@
 func (n *node) readiness() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !n.ready || n.life.sendsAway() {
+	if !n.ready || n.life.sendsAway() && !n.pair.hasHeir() { // a successor is ready for both
 		return http.StatusServiceUnavailable
 	}
 	return http.StatusOK
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"runtime/debug"
 	"sync"
@@ -37,6 +38,7 @@
 	effects map[string]policy.Effect // of the classes that there are
 	life    lifecycle
 	hand    hand
+	pair    pair
 	clients *clients
 
 	ctx context.Context // ends when the node does; attempts and watches hang on it
@@ -89,15 +91,13 @@
 	if cfg.Cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(cfg.Cores)))
 	}
-	if cfg.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 3 / 4)
-	}
 	debug.SetGCPercent(400) // the live heap is small; collecting it often would be felt as latency
-	ln, err := (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp", cfg.Listen)
+	ln, err := listen(ctx, cfg)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	n, stop, err := start(cfg, log)
+	old := inherit(cfg, log)
+	n, stop, err := start(cfg, old, log)
 	if err != nil {
 		return errors.Join(err, ln.Close())
 	}
@@ -122,8 +122,19 @@
 	return n.serve(ctx, ln)
 }
 
-// start brings up all of a node but its listener. The returned function ends what was started.
-func start(cfg Config, log *slog.Logger) (*node, func(), error) {
+// listen opens the clients' listening socket, or takes the one that another process holds for this one.
+func listen(ctx context.Context, cfg Config) (net.Listener, error) {
+	if cfg.AcceptFD == 0 {
+		return (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp", cfg.Listen)
+	}
+	f := os.NewFile(uintptr(cfg.AcceptFD), "clients")
+	defer f.Close() // the listener has its own
+	return net.FileListener(f)
+}
+
+// start brings up all of a node but its listener, with what a predecessor left if there was one. The returned
+// function ends what was started.
+func start(cfg Config, old *estate, log *slog.Logger) (*node, func(), error) {
 	bal, err := policy.New(cfg.Settings.Policy, cfg.Seed)
 	if err != nil {
 		return nil, nil, err
@@ -137,10 +148,16 @@
 	}
 	n.pool = newPool(cfg)
 	n.clients = newClients(n)
+	n.pair.succeeded, n.pair.stopped = make(chan struct{}), make(chan struct{})
+	n.limits(1)
 	n.disc = newDiscovery(n, cfg.Discovery)
 	// The list can start a watch at once, whose answer must not be taken in before the list is.
 	n.mu.Lock()
-	n.takeList(&cfg.Known, policy.ListCached)
+	if old != nil {
+		n.enter(old)
+	} else {
+		n.takeList(&cfg.Known, policy.ListCached)
+	}
 	if !cfg.Settings.Policy.MustAsk {
 		n.disc.watch() // the policy asks only where lists are not pushed
 	}
@@ -161,10 +178,10 @@
 func (n *node) begin(r *request) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.requests[r.id] != nil {
+	now := n.clock.now()
+	if n.requests[r.id] != nil || now < n.pair.theirs[r.id] {
 		return false
 	}
-	now := n.clock.now()
 	// The answer must be with the client when its time is up: the way there and back and the time that the
 	// request has spent here are off.
 	left := max(0, r.patience-time.Since(r.arrived)-transit)
--- /dev/null
+++ b/internal/node/pair.go
@@ -0,0 +1,227 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"springflow/internal/upgrade"
+	"springflow/policy"
+)
+
+// readyTime is how long a successor waits for its predecessor to stop accepting. Both may for a while.
+const readyTime = time.Second
+
+// pair is this process's part in a replacement: it has at most one predecessor and one successor, and as long as one
+// of them is there the two are one node.
+type pair struct {
+	succeeded chan struct{}            // closed when a successor serves
+	stopped   chan struct{}            // closed when, for that, nothing more is accepted here
+	once      sync.Once                // closes succeeded
+	up        atomic.Bool              // this process accepts clients
+	theirs    map[string]time.Duration // ids of requests that the predecessor had open, and until when. Guarded by node.mu
+
+	mu       sync.Mutex
+	peer     *upgrade.Peer // the other process
+	listener *upgrade.Listener
+}
+
+// estate is what a predecessor hands over: what the rules need to hold across the two. What was learnt of the web
+// servers' speed is not part of it; each answer tells that anew.
+type estate struct {
+	peer *upgrade.Peer
+
+	Discovery string           `json:"discovery"` // whose version that is
+	List      list             `json:"list"`
+	Disabled  []string         `json:"disabled"` // out by hand
+	Returned  map[string]int64 `json:"returned"` // when one was put back, in Unix nanoseconds
+	Open      map[string]int64 `json:"open"`     // ids of the requests that it goes on with, and until when
+	Drained   bool             `json:"drained"`
+}
+
+// socketPath is where a process meets its successor. There is none where each process has a socket of its own for
+// its clients: no two can serve at a time.
+func socketPath(cfg Config) string {
+	if cfg.AcceptFD == 0 {
+		return ""
+	}
+	return filepath.Join(os.TempDir(), "portstall.sock")
+}
+
+// inherit asks a predecessor for its estate. Without one, or with one that does not answer, a node starts as ever.
+func inherit(cfg Config, log *slog.Logger) *estate {
+	path := socketPath(cfg)
+	if path == "" {
+		return nil
+	}
+	peer, text, err := upgrade.Dial(path)
+	if err != nil {
+		log.Info("starting without a predecessor", "reason", err)
+		return nil
+	}
+	old := &estate{peer: peer}
+	if err := json.Unmarshal(text, old); err != nil {
+		log.Error("the predecessor's state makes no sense; starting without it", "err", err)
+		return nil
+	}
+	log.Info("taking over", "web servers", len(old.List.Servers), "out by hand", len(old.Disabled), "open requests", len(old.Open))
+	return old
+}
+
+// enter takes up a predecessor's estate. n.mu is held.
+func (n *node) enter(old *estate) {
+	for _, id := range old.Disabled {
+		n.hand.disabled[id] = true
+	}
+	for id, at := range old.Returned {
+		n.hand.returned[id] = time.Duration(at)
+	}
+	n.pair.theirs = map[string]time.Duration{}
+	for id, until := range old.Open {
+		n.pair.theirs[id] = time.Duration(until)
+	}
+	if old.Drained {
+		n.life.enter(drained)
+	}
+	n.disc.whole = old.Discovery != n.cfg.Discovery // its versions are not this discovery's
+	n.takeList(&old.List, policy.ListCached)
+	n.pair.peer = old.peer
+	n.share()
+	old.peer.Follow(n)
+}
+
+// takeOver is called once this process accepts clients. It lets the predecessor stop and waits for a successor.
+func (n *node) takeOver() {
+	n.pair.mu.Lock()
+	peer := n.pair.peer
+	n.pair.mu.Unlock()
+	if peer != nil {
+		ctx, cancel := context.WithTimeout(n.ctx, readyTime)
+		defer cancel()
+		if err := peer.Ready(ctx); err != nil {
+			n.log.Warn("the predecessor does not make way", "err", err)
+		}
+	}
+	if path := socketPath(n.cfg); path != "" {
+		l, err := upgrade.Listen(path, n, n.log, n.pair.met)
+		if err != nil {
+			n.log.Error("no successor can take over from this process", "err", err)
+		}
+		n.pair.mu.Lock()
+		n.pair.listener = l
+		n.pair.mu.Unlock()
+	}
+	n.pair.up.Store(true)
+}
+
+// met notes a successor that is about to learn the state.
+func (p *pair) met(peer *upgrade.Peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.peer = peer
+}
+
+// close ends the wait for successors.
+func (p *pair) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		p.listener.Close()
+	}
+}
+
+// tell passes an operator's call to the other process, if there is one.
+func (p *pair) tell(ctx context.Context, o upgrade.Order) error {
+	p.mu.Lock()
+	peer := p.peer
+	p.mu.Unlock()
+	if peer == nil {
+		return nil
+	}
+	return peer.Order(ctx, o)
+}
+
+// hasHeir tells whether a successor serves.
+func (p *pair) hasHeir() bool {
+	select {
+	case <-p.succeeded:
+		return true
+	default:
+		return false
+	}
+}
+
+// State returns what a successor needs.
+func (n *node) State() (json.RawMessage, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	e := estate{Discovery: n.disc.addr, List: list{Version: n.version, Full: true}, Returned: map[string]int64{},
+		Open: map[string]int64{}, Drained: n.life.now() == drained}
+	for _, b := range n.names {
+		if !b.left {
+			e.List.Servers = append(e.List.Servers, b.entry)
+		}
+	}
+	for id := range n.hand.disabled {
+		e.Disabled = append(e.Disabled, id)
+	}
+	for id, at := range n.hand.returned {
+		e.Returned[id] = int64(at)
+	}
+	for id, r := range n.requests {
+		e.Open[id] = int64(r.until)
+	}
+	return json.Marshal(e)
+}
+
+// Obey does what an operator told the other process.
+func (n *node) Obey(o upgrade.Order) error {
+	switch o.Call {
+	case upgrade.Disable, upgrade.Enable:
+		n.setDisabled(o) // known there: that counts
+	case upgrade.Drain:
+		n.drain()
+	case upgrade.Resume:
+		n.resume()
+	default:
+		return fmt.Errorf("order %q is not known", o.Call)
+	}
+	return nil
+}
+
+// Succeed lets the successor have the clients.
+func (n *node) Succeed() {
+	n.pair.once.Do(func() { close(n.pair.succeeded) })
+	<-n.pair.stopped
+	n.share()
+}
+
+// Alone takes back the whole of the limits.
+func (n *node) Alone() {
+	n.pair.mu.Lock()
+	n.pair.peer = nil
+	n.pair.mu.Unlock()
+	n.log.Info("the other process is gone")
+	if !n.pair.hasHeir() {
+		n.limits(1)
+	}
+}
+
+// share leaves half of the limits to the other process: both count together.
+func (n *node) share() { n.limits(2) }
+
+// limits sets what this process may use: its part of the node's descriptors and memory.
+func (n *node) limits(processes int) {
+	n.pool.resize(n.cfg.poolLimit() / processes)
+	n.clients.resize(n.cfg.clientLimit() / processes)
+	if n.cfg.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(n.cfg.MemoryMB) << 20 * 3 / 4 / int64(processes))
+	}
+}
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -33,16 +33,23 @@
 }
 
 func newPool(cfg Config) *pool {
-	p := &pool{limit: cfg.shared() * 3 / 8}
-	if cfg.Sockets == 0 {
-		p.limit = 1 << 20
-	}
+	p := &pool{limit: cfg.poolLimit()}
 	p.dialer = net.Dialer{Timeout: cfg.Settings.ConnectTimeout, KeepAlive: -1}
 	// A request written to a connection that the backend has just closed ends as a reset: retire it before.
 	p.idle = cfg.Settings.ConnIdle * 9 / 10
 	return p
 }
 
+// resize sets how many connections there may be, and closes those with no owner that are too many.
+func (p *pool) resize(limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = limit
+	for e := p.rest.Front(); e != nil && p.open > limit; e = p.rest.Front() {
+		p.discard(e.Value.(*backendConn))
+	}
+}
+
 // backendConn is a connection to a backend.
 type backendConn struct {
 	net.Conn
@@ -125,7 +132,7 @@
 func (p *pool) put(c *backendConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.backend.retired {
+	if c.backend.retired || p.open > p.limit {
 		p.open--
 		c.Close()
 		return
--- a/internal/node/stub_test.go
+++ b/internal/node/stub_test.go
@@ -202,7 +202,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	n, stop, err := start(cfg, slog.New(slog.DiscardHandler))
+	n, stop, err := start(cfg, nil, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
