Reload settings: validate the whole file, then swap them at once

The node holds its settings in one immutable value that is swapped; the module gets them by EvSettings, keeps what it has learnt of servers, classes and tenants, and requests under way keep their class and the smaller number of attempts. For 2 s after a swap a request worded by the old classes still passes: clients learn of new ones in their own time.

Rejected: a list of the keys that a file must have. It would have to follow each change of what is read, and a file cut in a part that is not read would pass for whole.

--- a/cmd/craneglade/main.go
+++ b/cmd/craneglade/main.go
@@ -26,7 +26,7 @@
 	defer stop()
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("node", cfg.Name)
 	reload := make(chan node.Config)
-	go reread(ctx, hup, reload, log)
+	go reread(ctx, hup, cfg, reload, log)
 	if err := node.Run(ctx, cfg, reload, log); err != nil {
 		fmt.Fprintln(os.Stderr, "craneglade:", err)
 		os.Exit(1)
@@ -34,20 +34,21 @@
 }
 
 // reread passes on the configuration as it is after each SIGHUP, until ctx ends. One that is bad changes nothing.
-func reread(ctx context.Context, hup <-chan os.Signal, reload chan<- node.Config, log *slog.Logger) {
+func reread(ctx context.Context, hup <-chan os.Signal, inForce node.Config, reload chan<- node.Config, log *slog.Logger) {
 	for {
 		select {
 		case <-hup:
 		case <-ctx.Done():
 			return
 		}
-		cfg, err := node.Reload(os.Getenv)
+		cfg, err := node.Reload(os.Getenv, inForce)
 		if err != nil {
 			log.Error("the new configuration is bad; keeping the old one", "err", err)
 			continue
 		}
 		select {
 		case reload <- cfg:
+			inForce = cfg
 		case <-ctx.Done():
 			return
 		}
--- a/internal/node/backends.go
+++ b/internal/node/backends.go
@@ -222,7 +222,7 @@
 // judge tells what an answer means.
 func (n *node) judge(b *backend, resp *http.Response, body []byte) result {
 	res := result{outcome: policy.Failed}
-	if reports := resp.Header["X-Load"]; len(reports) > 0 && n.cfg.Settings.Reports {
+	if reports := resp.Header["X-Load"]; len(reports) > 0 && n.set.Load().Reports {
 		load, err := wire.DecodeLoad(reports[0])
 		if err == nil && len(reports) == 1 {
 			res.load = load
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -16,8 +15,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"springflow/policy"
 )
 
 const (
@@ -79,11 +76,6 @@
 
 // serve answers clients on ln until ctx ends and then until all that was taken is answered.
 func (n *node) serve(ctx context.Context, ln net.Listener) error {
-	var longest time.Duration // that a client waits
-	for _, c := range n.cfg.Settings.Policy.Classes {
-		longest = max(longest, c.Deadline)
-	}
-	longest = cmp.Or(longest, 3*time.Second)
 	s := n.clients
 	failed := make(chan error, 1)
 	go func() { failed <- s.accept(ln) }()
@@ -114,7 +106,7 @@
 	}()
 	select {
 	case <-done:
-	case <-time.After(longest + transit):
+	case <-time.After(n.set.Load().longest() + transit):
 		s.closeAll(true) // the last deadline has passed
 		<-done
 	}
@@ -365,13 +357,8 @@
 	if r.patience, err = parseDeadline(in.Header.Get("X-Deadline")); err != nil {
 		return no(bad, "X-Deadline: %v", err)
 	}
-	effect, known := n.effects[in.Header.Get("X-Class")]
-	if !known {
-		return no(bad, "X-Class: no such class")
-	}
-	key := in.Header.Get("Idempotency-Key") != ""
-	if (in.Method == http.MethodGet) != (effect == policy.Safe) || effect == policy.Keyed && !key || effect == policy.Unsafe && key {
-		return no(bad, "method or Idempotency-Key: not those of the class")
+	if err := n.set.Load().fits(in); err != nil {
+		return no(bad, "%v", err)
 	}
 	return nil
 }
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -26,6 +26,8 @@
 	Sockets   int  // descriptors that the process may hold
 	Known     list // the backends as this node last had them
 	Settings  wire.Settings
+
+	file map[string]any // the file itself, for what may not be missing in the next
 }
 
 // clientLimit is how many of the descriptors are for clients, poolLimit for backends. The rest is a reserve.
@@ -46,13 +48,15 @@
 
 // Load reads the configuration from the GW_* variables and the file that GW_CONFIG names; a variable that is
 // set goes before the file. An error names the field that is at fault, on one line.
-func Load(getenv func(string) string) (Config, error) { return load(getenv, false) }
+func Load(getenv func(string) string) (Config, error) { return load(getenv, nil) }
 
-// Reload reads the configuration again. The file's discovery now goes before GW_DISCOVERY, which tells the one at
-// the start.
-func Reload(getenv func(string) string) (Config, error) { return load(getenv, true) }
+// Reload reads the configuration again, to replace the one in force. The file's discovery now goes before
+// GW_DISCOVERY, which tells the one at the start. An error means that all stays as it is.
+func Reload(getenv func(string) string, inForce Config) (Config, error) {
+	return load(getenv, &inForce)
+}
 
-func load(getenv func(string) string, again bool) (Config, error) {
+func load(getenv func(string) string, inForce *Config) (Config, error) {
 	path := getenv("GW_CONFIG")
 	if path == "" {
 		return Config{}, errors.New("GW_CONFIG: not set")
@@ -84,7 +88,7 @@
 		name  string
 		field *string
 	}{{"GW_NAME", &cfg.Name}, {"GW_LISTEN", &cfg.Listen}, {"GW_DISCOVERY", &cfg.Discovery}, {"GW_MGMT", &cfg.Mgmt}} {
-		if again && v.field == &cfg.Discovery && cfg.Discovery != "" {
+		if inForce != nil && v.field == &cfg.Discovery && cfg.Discovery != "" {
 			continue
 		}
 		if s := getenv(v.name); s != "" {
@@ -128,6 +132,13 @@
 	if cfg.Settings.ConnIdle < 0 || cfg.Settings.ConnectTimeout < 0 {
 		return Config{}, errors.New("settings: policy_limits: conn_idle_s or connect_timeout_s is negative")
 	}
+	json.Unmarshal(text, &cfg.file) // it parsed before
+	delete(cfg.file, "known")       // told once, at the start
+	if inForce != nil {
+		if err := replaces(cfg.file, inForce.file, cfg.Settings); err != nil {
+			return Config{}, err
+		}
+	}
 	h := fnv.New64a()
 	h.Write([]byte(file.Seed)) // whatever its form: all of it counts
 	cfg.Seed = h.Sum64()
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -61,17 +61,12 @@
 	return d
 }
 
-// reload takes in a configuration that was read again. The backends stay until the new discovery tells its list.
-func (n *node) reload(cfg Config) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.ctx.Err() != nil || cfg.Discovery == n.disc.addr {
-		return
-	}
-	n.log.Info("following another discovery", "from", n.disc.addr, "to", cfg.Discovery)
+// follow turns to another discovery. The backends stay until it tells its list. n.mu is held.
+func (n *node) follow(addr string) {
+	n.log.Info("following another discovery", "from", n.disc.addr, "to", addr)
 	old := n.disc
 	old.leave()
-	n.disc = newDiscovery(n, cfg.Discovery)
+	n.disc = newDiscovery(n, addr)
 	n.disc.whole = true
 	n.disc.watch()
 	old.http.CloseIdleConnections()
@@ -94,7 +89,7 @@
 // is told to the policy, which says when to ask again.
 func (d *discovery) loop() {
 	wait, over := askWait, askOver
-	push := !d.node.cfg.Settings.Policy.MustAsk
+	push := !d.node.set.Load().Policy.MustAsk
 	if push {
 		wait, over = pushWait, pushOver
 	}
@@ -293,7 +288,7 @@
 
 // drainBackend lets nothing new be written to a backend once its grace is over, less the time that the news took.
 func (n *node) drainBackend(b *backend) {
-	grace := n.cfg.Settings.Policy.DrainGrace * 9 / 10
+	grace := n.set.Load().Policy.DrainGrace * 9 / 10
 	b.stop.CompareAndSwap(0, time.Now().Add(grace).UnixNano())
 }
 
@@ -306,7 +301,7 @@
 	b.left = true
 	n.drainBackend(b)
 	stop := b.stop.Load()
-	time.AfterFunc(n.cfg.Settings.Policy.DrainGrace, func() {
+	time.AfterFunc(n.set.Load().Policy.DrainGrace, func() {
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		if !b.left || b.stop.Load() != stop {
--- a/internal/node/hand.go
+++ b/internal/node/hand.go
@@ -100,7 +100,7 @@
 		}
 	}
 	for id, at := range h.returned {
-		if now-at > n.cfg.Settings.Policy.ColdFor {
+		if now-at > n.set.Load().Policy.ColdFor {
 			delete(h.returned, id)
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"runtime"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"springflow/internal/mgmt"
@@ -35,7 +36,7 @@
 	log     *slog.Logger
 	clock   clock
 	pool    *pool
-	effects map[string]policy.Effect // of the classes that there are
+	set     atomic.Pointer[settings]
 	life    lifecycle
 	hand    hand
 	pair    pair
@@ -86,7 +87,7 @@
 }
 
 // Run serves until ctx ends, finishes what it has taken and returns. A configuration from reload replaces what can
-// be replaced while it serves: the address of discovery.
+// be replaced while it serves: the settings, and the address of discovery.
 func Run(ctx context.Context, cfg Config, reload <-chan Config, log *slog.Logger) error {
 	if cfg.Cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(cfg.Cores)))
@@ -141,11 +142,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{cfg: cfg, log: log, clock: clock{time.Now()}, ctx: ctx, bal: bal, requests: map[string]*request{},
-		names: map[string]*backend{}, backends: map[uint32]*backend{}, effects: map[string]policy.Effect{},
+		names: map[string]*backend{}, backends: map[uint32]*backend{},
 		hand: hand{disabled: map[string]bool{}, returned: map[string]time.Duration{}}}
-	for _, c := range cfg.Settings.Policy.Classes {
-		n.effects[c.Name] = c.Effect
-	}
+	n.set.Store(newSettings(cfg.Settings))
 	n.pool = newPool(cfg)
 	n.clients = newClients(n)
 	n.pair.succeeded, n.pair.stopped = make(chan struct{}), make(chan struct{})
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -22,24 +22,30 @@
 // pool holds this node's connections to backends, within a part of the process's descriptors. Each has one owner at
 // a time, and comes back only after an answer that was read whole with nothing behind it.
 type pool struct {
+	mu     sync.Mutex
 	dialer net.Dialer
 	limit  int
 	idle   time.Duration // a connection that stood for this long is closed
-
-	mu    sync.Mutex
-	open  int
-	rest  lists.List // of *backendConn: those with no owner, the longest idle first
-	sweep *time.Timer
+	open   int
+	rest   lists.List // of *backendConn: those with no owner, the longest idle first
+	sweep  *time.Timer
 }
 
 func newPool(cfg Config) *pool {
 	p := &pool{limit: cfg.poolLimit()}
-	p.dialer = net.Dialer{Timeout: cfg.Settings.ConnectTimeout, KeepAlive: -1}
-	// A request written to a connection that the backend has just closed ends as a reset: retire it before.
-	p.idle = cfg.Settings.ConnIdle * 9 / 10
+	p.tune(cfg.Settings.ConnectTimeout, cfg.Settings.ConnIdle)
 	return p
 }
 
+// tune sets how long a connection may take to come up, and when backends close one that stands idle.
+func (p *pool) tune(connect, idle time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dialer = net.Dialer{Timeout: connect, KeepAlive: -1}
+	// A request written to a connection that the backend has just closed ends as a reset: retire it before.
+	p.idle = idle * 9 / 10
+}
+
 // resize sets how many connections there may be, and closes those with no owner that are too many.
 func (p *pool) resize(limit int) {
 	p.mu.Lock()
@@ -114,8 +120,9 @@
 		p.discard(oldest.Value.(*backendConn))
 	}
 	p.open++
+	dialer := p.dialer
 	p.mu.Unlock()
-	conn, err := p.dialer.DialContext(ctx, "tcp", b.addr)
+	conn, err := dialer.DialContext(ctx, "tcp", b.addr)
 	if err != nil {
 		p.mu.Lock()
 		p.open--
@@ -165,7 +172,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.sweep = nil
-	for e := p.rest.Front(); e != nil; e = p.rest.Front() {
+	for e := p.rest.Front(); e != nil && p.idle > 0; e = p.rest.Front() {
 		c := e.Value.(*backendConn)
 		if left := p.idle - time.Since(c.since); left > 0 {
 			p.sweep = time.AfterFunc(left, p.expire)
--- /dev/null
+++ b/internal/node/settings.go
@@ -0,0 +1,148 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"springflow/internal/wire"
+	"springflow/policy"
+)
+
+// crossTime is how long after new settings a request may still be worded by the old ones: clients learn of them in
+// their own time.
+const crossTime = 2 * time.Second
+
+// settings are what a configuration says that can change in service. They are immutable: a reload swaps the whole.
+type settings struct {
+	wire.Settings
+	effects map[string]policy.Effect // of the classes
+	before  map[string]policy.Effect // of those until the last reload,
+	until   time.Time                // which count until then
+}
+
+func newSettings(set wire.Settings) *settings {
+	s := &settings{Settings: set, effects: map[string]policy.Effect{}}
+	for _, c := range set.Policy.Classes {
+		s.effects[c.Name] = c.Effect
+	}
+	return s
+}
+
+// longest is how long a client waits at most.
+func (s *settings) longest() time.Duration {
+	var longest time.Duration
+	for _, c := range s.Policy.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	if longest == 0 {
+		return 3 * time.Second
+	}
+	return longest
+}
+
+var (
+	errClass  = errors.New("X-Class: no such class")
+	errMethod = errors.New("method or Idempotency-Key: not those of the class")
+)
+
+// fits tells whether a request is worded as its class wants it.
+func (s *settings) fits(r *http.Request) error {
+	err := fits(s.effects, r)
+	if err != nil && time.Now().Before(s.until) && fits(s.before, r) == nil {
+		return nil
+	}
+	return err
+}
+
+func fits(effects map[string]policy.Effect, r *http.Request) error {
+	effect, known := effects[r.Header.Get("X-Class")]
+	if !known {
+		return errClass
+	}
+	key := r.Header.Get("Idempotency-Key") != ""
+	if (r.Method == http.MethodGet) != (effect == policy.Safe) || effect == policy.Keyed && !key || effect == policy.Unsafe && key {
+		return errMethod
+	}
+	return nil
+}
+
+// retune swaps the settings. Requests that were taken keep their class, and what was learnt of backends stays.
+// n.mu is held.
+func (n *node) retune(set wire.Settings) {
+	s, old := newSettings(set), n.set.Load()
+	s.before, s.until = old.effects, time.Now().Add(crossTime)
+	n.set.Store(s)
+	n.pool.tune(set.ConnectTimeout, set.ConnIdle)
+	n.handle(n.clock.now(), &policy.Event{Kind: policy.EvSettings, Settings: &s.Policy})
+}
+
+// reload takes in a configuration that was read again: the settings, and the address of discovery. The rest belongs
+// to the process's start.
+func (n *node) reload(cfg Config) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ctx.Err() != nil {
+		return
+	}
+	n.retune(cfg.Settings)
+	n.log.Info("new settings are in force", "classes", len(cfg.Settings.Policy.Classes),
+		"max attempts", cfg.Settings.Policy.MaxAttempts)
+	if cfg.Discovery != n.disc.addr {
+		n.follow(cfg.Discovery)
+	}
+}
+
+// replaces tells whether a configuration file can take the place of the one in force. Defaults are for a start, where
+// there is nothing to fall back on: here a key that is missing, or a time of nothing, means a broken file.
+func replaces(file, inForce any, set wire.Settings) error {
+	if key := missing("", inForce, file); key != "" {
+		return fmt.Errorf("%s: missing", key)
+	}
+	for _, c := range set.Policy.Classes {
+		if c.Deadline <= 0 {
+			return fmt.Errorf("settings: grades: %s: deadline_s is not over 0", c.Name)
+		}
+	}
+	return nil
+}
+
+// missing returns the first key of a JSON value that another one lacks; each element of a list is held against the
+// first of the old list. It is empty where none is missing.
+func missing(path string, old, new any) string {
+	switch old := old.(type) {
+	case map[string]any:
+		fields, ok := new.(map[string]any)
+		if !ok {
+			return path
+		}
+		for name, value := range old {
+			here := name
+			if path != "" {
+				here = path + "." + name
+			}
+			v, ok := fields[name]
+			if !ok {
+				return here
+			}
+			if key := missing(here, value, v); key != "" {
+				return key
+			}
+		}
+	case []any:
+		items, ok := new.([]any)
+		if !ok {
+			return path
+		}
+		for i, item := range items {
+			if len(old) == 0 {
+				break
+			}
+			if key := missing(fmt.Sprintf("%s[%d]", path, i), old[0], item); key != "" {
+				return key
+			}
+		}
+	}
+	return ""
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -43,7 +43,7 @@
 	QuotaPerS float64
 }
 
-// Settings is what a node is told at its start. Durations and counts left zero mean "not told".
+// Settings is what a node is told at its start, and by EvSettings later. Durations and counts left zero mean "not told".
 type Settings struct {
 	Zone        string        // zone of this node
 	Nodes       int           // nodes in service, this one included; at least 1
@@ -121,14 +121,15 @@
 type EventKind uint8
 
 const (
-	EvRequest EventKind = iota // a client request arrived
-	EvOutcome                  // an attempt ended
-	EvGone                     // the client gave up
-	EvList                     // news of the server list
-	EvTimer                    // a timer set by ActTimer is due
-	EvDisable                  // operators took a server out: nothing new to it, whatever the list says
-	EvEnable                   // and put it back: it may have been restarted meanwhile, and counts as cold
-	EvOther                    // anything the policy does not act on
+	EvRequest  EventKind = iota // a client request arrived
+	EvOutcome                   // an attempt ended
+	EvGone                      // the client gave up
+	EvList                      // news of the server list
+	EvTimer                     // a timer set by ActTimer is due
+	EvDisable                   // operators took a server out: nothing new to it, whatever the list says
+	EvEnable                    // and put it back: it may have been restarted meanwhile, and counts as cold
+	EvSettings                  // new settings are in force: what was learnt stays, requests under way keep their class
+	EvOther                     // anything the policy does not act on
 )
 
 // Outcome is how an attempt ended.
@@ -184,21 +185,22 @@
 
 // Event is one thing that happened at this node. Only the fields of its kind are read.
 type Event struct {
-	Kind    EventKind
-	ID      string        // EvRequest, EvOutcome, EvGone: the request
-	Class   string        // EvRequest
-	Tenant  string        // EvRequest
-	Left    time.Duration // EvRequest: the client gives up after this
-	Repeat  bool          // EvRequest: a client's repeat of its earlier try, where clients say so
-	Server  uint32        // EvOutcome, EvDisable, EvEnable
-	Attempt int           // EvOutcome: number of the attempt, from 0 in the order of the sends
-	Took    time.Duration // EvOutcome: since the send
-	Last    bool          // EvOutcome: the request is finished
-	Outcome Outcome       // EvOutcome
-	Load    Load          // EvOutcome
-	List    ListKind      // EvList
-	Entries []Entry       // EvList; not kept by the policy
-	Token   string        // EvTimer
+	Kind     EventKind
+	ID       string        // EvRequest, EvOutcome, EvGone: the request
+	Class    string        // EvRequest
+	Tenant   string        // EvRequest
+	Left     time.Duration // EvRequest: the client gives up after this
+	Repeat   bool          // EvRequest: a client's repeat of its earlier try, where clients say so
+	Server   uint32        // EvOutcome, EvDisable, EvEnable
+	Attempt  int           // EvOutcome: number of the attempt, from 0 in the order of the sends
+	Took     time.Duration // EvOutcome: since the send
+	Last     bool          // EvOutcome: the request is finished
+	Outcome  Outcome       // EvOutcome
+	Load     Load          // EvOutcome
+	List     ListKind      // EvList
+	Entries  []Entry       // EvList; not kept by the policy
+	Token    string        // EvTimer
+	Settings *Settings     // EvSettings; valid, and not changed afterwards
 }
 
 // ActionKind names what the node is to do.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -54,10 +54,24 @@
 	if err := set.Validate(); err != nil {
 		return nil, err
 	}
-	b := &Balancer{set: set, rng: rand.New(rand.NewPCG(seed, 0)), servers: map[uint32]*server{},
-		requests: map[string]*request{}, retries: retryBank, aim: math.Inf(1), half: math.Inf(1)}
+	b := &Balancer{rng: rand.New(rand.NewPCG(seed, 0)), servers: map[uint32]*server{},
+		requests: map[string]*request{}, retries: retryBank}
+	b.retune(&set)
+	return b, nil
+}
+
+// retune puts settings in force. What was learnt of a class or tenant goes to the one of the same name.
+func (b *Balancer) retune(set *Settings) {
+	b.set, b.aim, b.half = *set, math.Inf(1), math.Inf(1)
+	classes, tenants := b.classes, b.tenants
+	b.classes, b.tenants = nil, nil
 	for _, c := range set.Classes {
-		b.classes = append(b.classes, &class{Class: c, least: c.Deadline.Seconds()})
+		k := &class{Class: c, least: c.Deadline.Seconds()}
+		if i := slices.IndexFunc(classes, func(o *class) bool { return o.Name == c.Name }); i >= 0 {
+			*k = *classes[i] // a copy: requests under way keep the old one
+			k.Class, k.least = c, min(k.least, c.Deadline.Seconds())
+		}
+		b.classes = append(b.classes, k)
 		if d := c.Deadline.Seconds(); d > 0 {
 			b.half = min(b.half, d/2)
 		}
@@ -66,9 +80,13 @@
 		}
 	}
 	for _, t := range set.Tenants {
-		b.tenants = append(b.tenants, &tenant{Tenant: t})
+		k := &tenant{Tenant: t}
+		if i := slices.IndexFunc(tenants, func(o *tenant) bool { return o.Name == t.Name }); i >= 0 {
+			*k = *tenants[i]
+			k.Tenant = t
+		}
+		b.tenants = append(b.tenants, k)
 	}
-	return b, nil
 }
 
 // Handle takes one event at the given time and appends what is to be done to out.
@@ -91,6 +109,8 @@
 		}
 	case EvEnable:
 		b.enable(t, ev)
+	case EvSettings:
+		b.retune(ev.Settings)
 	case EvTimer:
 		b.plan(t)
 		if b.askAt > 0 && t >= b.askAt {
@@ -127,7 +147,7 @@
 	}
 	c.requests++
 	left := ev.Left.Seconds()
-	r := &request{id: ev.ID, class: c, until: now + left, aim: now + left}
+	r := &request{id: ev.ID, class: c, until: now + left, aim: now + left, most: b.set.MaxAttempts}
 	if aim := c.Aim.Seconds(); aim > 0 && c.LateWorth == 0 {
 		// A repeat with less time left than any first try lately has what is left of the deadline: that tells
 		// the age of its request. Work for one past its aim would only make others late.
@@ -245,7 +265,7 @@
 // overload: they take the ordinary path again, and share a budget that only first attempts fill.
 func (b *Balancer) mayRetry(now float64, r *request) bool {
 	c := r.class
-	if len(r.attempts) >= b.set.MaxAttempts || now >= r.aim || b.retries < 1 {
+	if len(r.attempts) >= min(r.most, b.set.MaxAttempts) || now >= r.aim || b.retries < 1 {
 		return false
 	}
 	return r.mayRun == nil || c.Effect == Safe || c.Effect == Keyed && now < r.mayRunAt+c.Window.Seconds()
--- a/policy/state.go
+++ b/policy/state.go
@@ -37,6 +37,7 @@
 	lesser   bool    // diverted first
 	until    float64 // when the client gives up
 	aim      float64 // when its answer stops being worth anything
+	most     int     // attempts that were allowed when it came
 	attempts []attempt
 	open     int     // attempts without an outcome
 	final    bool    // the client has its answer; nothing more may be sent
