Stream bodies of any size through bounded buffers

Design. internal/flow holds what knows no protocol: a byte budget for all bodies of the process (an eighth of the memory limit; requests get half of it, so that answers always find room), and an upload that is whole in hand up to 64 KiB and else goes from the client's connection to the one attempt that takes it. An answer of up to 64 KiB is read whole before any of it goes on; of a larger one each byte goes on as it comes, and a break ends so that the client can tell. The module learns by an outcome's Spent that a body can't be sent again. Time limits are for standing still, not for the whole. Chunks, trailers, Expect and answers that end with their connection go by net/http's parsers; the head is looked at once before, as these hide a Content-Length beside Transfer-Encoding.

Rejected: net/http's server and transport on both sides. The transport resends by itself and offers connections before it has looked behind an answer, and the server can't tell a request that was taken from one that was not.

--- /dev/null
+++ b/internal/flow/flow_test.go
@@ -0,0 +1,137 @@
+package flow
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+)
+
+const patience = 20 * time.Second
+
+func TestSmallUploadCanBeSentAgain(t *testing.T) {
+	for _, length := range []int64{5, -1} {
+		u, err := NewUpload(iotest.OneByteReader(strings.NewReader("a box")), length)
+		if err != nil || !u.Whole() || u.Length != 5 || u.Held() != 5 {
+			t.Fatalf("length %d: %+v, %v", length, u, err)
+		}
+		for range 2 {
+			if got, err := io.ReadAll(u.Reader()); string(got) != "a box" || err != nil {
+				t.Errorf("length %d: %q, %v", length, got, err)
+			}
+		}
+		if u.Drop(); u.Spent() {
+			t.Error("spent")
+		}
+		<-u.Ended()
+	}
+	if _, err := NewUpload(strings.NewReader("a bo"), 5); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("cut short: %v", err)
+	}
+}
+
+func TestLargeUploadIsPassedOnOnce(t *testing.T) {
+	text := strings.Repeat("0123456789abcdef", 40<<10/16*10)
+	for _, length := range []int64{int64(len(text)), -1} {
+		body := strings.NewReader(text)
+		u, err := NewUpload(body, length)
+		if err != nil || u.Whole() || u.Length != length {
+			t.Fatalf("length %d: %+v, %v", length, u, err)
+		}
+		pumped := make(chan error, 1)
+		go func() { pumped <- u.Pump(body) }()
+		if u.Spent() {
+			t.Error("spent before it was begun")
+		}
+		if got, err := io.ReadAll(u.Reader()); string(got) != text || err != nil {
+			t.Errorf("length %d: %d bytes, %v", length, len(got), err)
+		}
+		if err := <-pumped; err != nil || !u.Spent() {
+			t.Errorf("length %d: %v, spent %v", length, err, u.Spent())
+		}
+		<-u.Ended()
+	}
+}
+
+// A body that nobody takes any more is read to its end; one that breaks off tells whoever reads it.
+func TestUploadDroppedOrBroken(t *testing.T) {
+	body := strings.NewReader(strings.Repeat("x", 10*Chunk))
+	u, _ := NewUpload(body, 10*Chunk)
+	u.Drop()
+	if err := u.Pump(body); err != nil || body.Len() > 0 {
+		t.Errorf("dropped: %v, %d bytes left", err, body.Len())
+	}
+	broken := io.MultiReader(strings.NewReader("part"), iotest.ErrReader(io.ErrUnexpectedEOF))
+	u, _ = NewUpload(broken, Keep+1)
+	pumped := make(chan error, 1)
+	go func() { pumped <- u.Pump(broken) }()
+	if got, err := io.ReadAll(u.Reader()); string(got) != "part" || !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("broken: %q, %v", got, err)
+	}
+	if err := <-pumped; !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("broken: %v", err)
+	}
+}
+
+// Requests leave half of the budget to answers, and what is lent comes back.
+func TestBudget(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	over, stop := context.WithCancel(ctx)
+	stop()
+	b := NewBudget(8 * Chunk)
+	for range 4 {
+		if err := b.Request(ctx, Chunk); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if b.Request(over, Chunk) == nil {
+		t.Error("requests got more than half")
+	}
+	for range 4 {
+		if err := b.Answer(ctx, Chunk); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if b.Answer(over, 1) == nil {
+		t.Error("got more than there is")
+	}
+	back := b.Lend()
+	for range 4 {
+		b.AnswerDone(Chunk)
+		b.RequestDone(Chunk)
+	}
+	back()
+	if err := b.Answer(ctx, 8*Chunk); err != nil {
+		t.Errorf("the whole of it: %v", err)
+	}
+}
+
+// What has come is written before more is waited for.
+func TestWriterHoldsNothingBack(t *testing.T) {
+	var out bytes.Buffer
+	in, feed := io.Pipe()
+	bw, body := Writer(&out, in)
+	seen := make(chan string, 10)
+	go func() {
+		feed.Write([]byte("part"))
+		feed.Close()
+	}()
+	bw.WriteString("head ")
+	buf := make([]byte, 100)
+	for {
+		n, err := body.Read(buf)
+		seen <- out.String()
+		if err != nil {
+			break
+		}
+		bw.Write(buf[:n])
+	}
+	if first, second := <-seen, <-seen; first != "head " || second != "head part" {
+		t.Errorf("out were %q and then %q", first, second)
+	}
+}
--- /dev/null
+++ b/internal/node/answer.go
@@ -0,0 +1,132 @@
+package node
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"springflow/internal/flow"
+)
+
+// answer is what a client is told.
+type answer struct {
+	status     int
+	header     http.Header // of a served request: what the backend sent
+	body       []byte      // whole,
+	stream     *download   // or, where it is large, still on its way
+	held       int64       // bytes of the budget for body
+	retryAfter time.Duration
+}
+
+// release gives back what an answer held, whether it was passed on or not.
+func (n *node) release(a answer) {
+	n.budget.AnswerDone(a.held)
+	if a.stream != nil {
+		a.stream.Close()
+	}
+}
+
+// download is a large answer on its way from a backend.
+type download struct {
+	io.Reader       // the body
+	length    int64 // -1 where it is not known ahead
+	head      int64 // bytes of it that were read ahead
+	passed    int64
+	conn      *backendConn
+	resp      *http.Response
+	held      int64 // bytes of the budget
+	pool      *pool
+	budget    *flow.Budget
+	ended     bool // read to its end
+}
+
+// newDownload takes over a connection, and a chunk of the budget, for the rest of an answer.
+func newDownload(n *node, c *backendConn, got received) *download {
+	c.stall = streamStall
+	c.cap.N = 2 * maxBody // chunks have lengths of their own
+	return &download{Reader: io.MultiReader(bytes.NewReader(got.body), got.resp.Body), length: got.resp.ContentLength,
+		head: int64(len(got.body)), conn: c, resp: got.resp, held: got.held, pool: n.pool, budget: n.budget}
+}
+
+// framing is about what the line between two chunks takes.
+const framing = 16
+
+// Read passes on what has come, and marks a sound end.
+func (d *download) Read(p []byte) (int, error) {
+	// The parser of chunks fills all of p, however long a chunk takes to come: wait for one byte, and then ask for no
+	// more than is there.
+	behind := d.length < 0 && d.passed >= d.head
+	q := p
+	if behind {
+		q = p[:min(len(p), 1)]
+	}
+	n, err := d.Reader.Read(q)
+	if there := min(d.conn.in.Buffered()-framing, len(p)-n); behind && err == nil && there > 0 {
+		var m int
+		m, err = d.Reader.Read(p[n : n+there])
+		n += m
+	}
+	if d.passed += int64(n); d.passed > maxBody {
+		return 0, errTooLarge
+	}
+	d.ended = err == io.EOF
+	return n, err
+}
+
+// Close gives back what the answer held. Only a connection on which it was sound is used again.
+func (d *download) Close() error {
+	if d.ended && d.conn.reusable(d.resp) {
+		d.pool.put(d.conn)
+	} else {
+		d.pool.close(d.conn)
+	}
+	d.budget.AnswerDone(d.held)
+	return nil
+}
+
+// pacedWriter bounds the time that each write may wait for the other side to read.
+type pacedWriter struct {
+	net.Conn
+	stall time.Duration
+}
+
+func (w pacedWriter) Write(p []byte) (int, error) {
+	w.SetWriteDeadline(time.Now().Add(w.stall))
+	return w.Conn.Write(p)
+}
+
+// write sends an answer; an error means that the client has left or does not read, or that a large answer broke off,
+// which the client can tell once its connection is closed.
+func (c *clientConn) write(in *http.Request, a answer, last bool) error {
+	h := http.Header{"Date": {time.Now().UTC().Format(http.TimeFormat)}}
+	if t := a.header.Get("Content-Type"); t != "" {
+		h.Set("Content-Type", t)
+	}
+	if a.retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64))
+	}
+	resp := http.Response{StatusCode: a.status, ProtoMajor: 1, ProtoMinor: 1, Header: h, Request: in, Close: last}
+	if a.stream != nil {
+		resp.ContentLength = a.stream.length
+		if resp.ContentLength < 0 {
+			resp.TransferEncoding = []string{"chunked"}
+		}
+		out, body := flow.Writer(pacedWriter{c.Conn, writeStall}, a.stream)
+		resp.Body = io.NopCloser(body)
+		if err := resp.Write(flow.Plain{Writer: out}); err != nil {
+			return err
+		}
+		return out.Flush()
+	}
+	resp.ContentLength, resp.Body = int64(len(a.body)), io.NopCloser(bytes.NewReader(a.body))
+	var b bytes.Buffer
+	b.Grow(512 + len(a.body))
+	if err := resp.Write(&b); err != nil {
+		return err
+	}
+	_, err := pacedWriter{c.Conn, writeStall}.Write(b.Bytes())
+	return err
+}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -15,20 +15,25 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"springflow/internal/flow"
 )
 
 const (
 	maxHead = 16 << 10
 	maxID   = 256
 	// A client is owed an error or a close within 3 s of connecting, whatever it sends or doesn't.
-	headTime = 1500 * time.Millisecond // for a first request's head from the connection's start, for others from its first byte
-	bodyTime = time.Second             // from there to the last byte
-	readTime = 50 * time.Millisecond   // within this of a request's first byte most are there
+	headTime  = 2500 * time.Millisecond // for a first request's head from the connection's start, for others from its first byte
+	bodyStall = 2 * time.Second         // for further bytes of a body
+	bodyTime  = 3 * time.Second         // for the whole of a body, beyond what it takes
+	slowest   = 32 << 10                // at so many bytes a second
+	roomTime  = time.Second             // for a request to get its part of the bytes that bodies may hold
+	readTime  = 50 * time.Millisecond   // within this of a request's first byte most are there
 	// silentTime is how long a new connection may say nothing before it makes room first: a request comes on its heels.
 	silentTime = 200 * time.Millisecond
 	// idleTime is how long a connection is kept that carries no request. Some clients keep theirs for good.
 	idleTime   = 5 * time.Second
-	writeTime  = 2 * time.Second        // for an answer: a client may stop reading
+	lateTime   = 30 * time.Second       // for the rest of a request that has its answer already
 	lingerTime = 100 * time.Millisecond // for a rejected client to read why before its connection is reset
 	lingerSize = 256 << 10              // and how much of what it goes on sending is read meanwhile
 )
@@ -49,7 +54,6 @@
 type clientConn struct {
 	net.Conn
 	start time.Time
-	cap   io.LimitedReader // between the socket and in: nobody sends without end
 	in    *bufio.Reader
 	over  bool // there were too many already when it came
 
@@ -138,8 +142,7 @@
 			return err
 		}
 		c := &clientConn{Conn: conn, start: time.Now()}
-		c.since, c.cap.R = c.start, conn
-		c.in = bufio.NewReader(&c.cap)
+		c.since, c.in = c.start, bufio.NewReaderSize(conn, maxHead)
 		s.mu.Lock()
 		if len(s.conns) >= s.limit {
 			c.over = !s.makeRoom()
@@ -246,17 +249,61 @@
 		if !s.mark(c, true) && !s.node.life.sendsAway() {
 			c.over = true
 		}
-		a, ok := s.answer(c, r)
-		last := r.in.Close || c.over || s.node.life.sendsAway()
-		if !ok || c.write(r.in, a, last) != nil || last || !s.mark(c, false) {
+		if !s.exchange(c, r) || !s.mark(c, false) {
 			return
 		}
 	}
 }
 
-// read reads the next request. Both results are nil where there is none, or nobody to tell what is wrong with it.
+// exchange gives a request its answer and tells whether the connection stays.
+func (s *clients) exchange(c *clientConn, r *request) bool {
+	defer s.node.budget.RequestDone(r.upload.Held())
+	stays := true
+	if !r.upload.Whole() {
+		pumped := make(chan struct{})
+		go func() {
+			defer close(pumped)
+			r.upload.Pump(s.paced(c, r.in.Body))
+		}()
+		defer func() {
+			r.upload.Drop()
+			if !stays { // the client may still be sending: it is to read its answer first
+				s.linger(c, pumped)
+			}
+			<-pumped
+		}()
+	}
+	a, ok := s.answer(c, r)
+	if !ok {
+		c.Close() // ends the pump too
+		stays = false
+		return false
+	}
+	early := false // the answer came before the request's end: what follows can't be told from its rest
+	select {
+	case <-r.upload.Ended():
+	default:
+		early = true
+	}
+	last := r.in.Close || c.over || early || s.node.life.sendsAway()
+	stays = c.write(r.in, a, last) == nil && !last
+	s.node.release(a)
+	return stays
+}
+
+// linger lets a client finish its request before the connection is closed: closing resets one on which something is
+// unread, and with it the answer that the client has not read.
+func (s *clients) linger(c *clientConn, pumped <-chan struct{}) {
+	select {
+	case <-pumped:
+	case <-time.After(lateTime):
+		c.Close()
+	}
+}
+
+// read reads the next request, with its body where that is small. Both results are nil where there is none, or nobody
+// to tell what is wrong with it.
 func (s *clients) read(c *clientConn) (*request, *rejection) {
-	c.cap.N = maxHead
 	end := c.start.Add(headTime)
 	if c.used {
 		s.deadline(c, time.Now().Add(idleTime))
@@ -266,45 +313,145 @@
 	if _, err := c.in.Peek(1); err != nil {
 		return nil, nil
 	}
-	r := &request{arrived: time.Now()}
+	begun := time.Now()
 	s.mu.Lock()
 	c.reading = true
 	if !c.used {
-		c.begun = r.arrived
+		c.begun = begun
 	}
 	s.mu.Unlock()
 	if c.used {
-		end = r.arrived.Add(headTime)
+		end = begun.Add(headTime)
 		s.deadline(c, end)
 	}
-	in, err := http.ReadRequest(c.in)
-	switch {
-	case err != nil && !time.Now().Before(end): // the parser may hide the time-out
+	head, err := c.head()
+	if err != nil && !time.Now().Before(end) {
 		return nil, &rejection{http.StatusRequestTimeout, "the head did not come in time"}
-	case err != nil && c.cap.N <= 0:
+	}
+	if errors.Is(err, bufio.ErrBufferFull) {
 		return nil, &rejection{http.StatusRequestHeaderFieldsTooLarge, "the head is too large"}
-	case err != nil:
+	}
+	if err != nil {
 		return nil, &rejection{http.StatusBadRequest, err.Error()}
 	}
-	r.in = in
+	if twoFramings(head) {
+		// net/http drops a Content-Length beside Transfer-Encoding: a request hidden by the one or the other would go
+		// unseen.
+		return nil, &rejection{http.StatusBadRequest, "Content-Length beside Transfer-Encoding"}
+	}
+	in, err := http.ReadRequest(c.in)
+	if err != nil {
+		return nil, &rejection{http.StatusBadRequest, err.Error()}
+	}
+	r := &request{in: in}
 	if no := s.node.check(r); no != nil {
 		return nil, no
 	}
-	if in.ContentLength > 0 {
-		if in.Header.Get("Expect") != "" {
-			c.SetWriteDeadline(end.Add(bodyTime))
-			io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // an error shows when the body is read
+	return r, s.body(c, r)
+}
+
+// body reads the body of a request, if that is small; what is large is passed on while it comes.
+func (s *clients) body(c *clientConn, r *request) *rejection {
+	in := r.in
+	held := in.ContentLength
+	if held < 0 || held > flow.Keep {
+		held = flow.Chunk
+	}
+	ctx, cancel := context.WithTimeout(s.node.ctx, roomTime)
+	defer cancel()
+	if s.node.budget.Request(ctx, held) != nil {
+		return &rejection{http.StatusServiceUnavailable, "too many bodies are on their way"}
+	}
+	if in.ContentLength != 0 && in.Header.Get("Expect") != "" {
+		c.SetWriteDeadline(time.Now().Add(bodyStall))
+		io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // an error shows when the body is read
+	}
+	up, err := flow.NewUpload(s.paced(c, in.Body), in.ContentLength)
+	if err != nil {
+		s.node.budget.RequestDone(held)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return &rejection{http.StatusRequestTimeout, "the body did not come in time"}
+		}
+		return &rejection{http.StatusBadRequest, "body: " + err.Error()} // cut short: what came is not what was meant
+	}
+	if up.Held() < held {
+		s.node.budget.RequestDone(held - up.Held())
+	}
+	r.upload, r.arrived = up, time.Now()
+	return nil
+}
+
+// paced returns a reader of a request's body that gives up on a client which stands still, or is too slow.
+func (s *clients) paced(c *clientConn, body io.Reader) io.Reader {
+	return &pacedBody{clients: s, conn: c, body: body}
+}
+
+type pacedBody struct {
+	clients *clients
+	conn    *clientConn
+	body    io.Reader
+	waited  time.Duration // for the client
+	read    int64
+}
+
+func (b *pacedBody) Read(p []byte) (int, error) {
+	begun := time.Now()
+	left := bodyTime + time.Duration(b.read)*time.Second/slowest - b.waited
+	b.clients.deadline(b.conn, begun.Add(min(bodyStall, left)))
+	n, err := b.body.Read(p)
+	b.waited += time.Since(begun)
+	if b.read += int64(n); b.read > maxBody {
+		return n, errTooLarge
+	}
+	return n, err
+}
+
+// head waits until the head of the next request is in the buffer, and returns it as it was sent. Empty lines ahead of
+// it are skipped.
+func (c *clientConn) head() ([]byte, error) {
+	seen := 0
+	for {
+		text, _ := c.in.Peek(c.in.Buffered())
+		if n := len(text) - len(bytes.TrimLeft(text, "\r\n")); n > 0 && seen == 0 {
+			c.in.Discard(n)
+			continue
+		}
+		if n := headEnd(text, max(0, seen-3)); n > 0 {
+			return text[:n], nil
+		}
+		seen = len(text)
+		if _, err := c.in.Peek(seen + 1); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// headEnd returns the length of a head, or 0 where its end is not there. It is looked for from the given place on.
+func headEnd(text []byte, from int) int {
+	for i := from; ; i++ {
+		n := bytes.IndexByte(text[i:], '\n')
+		if n < 0 {
+			return 0
 		}
-		s.deadline(c, end.Add(bodyTime))
-		c.cap.N = in.ContentLength
-		r.body = make([]byte, in.ContentLength)
-		if _, err := io.ReadFull(in.Body, r.body); errors.Is(err, os.ErrDeadlineExceeded) {
-			return nil, &rejection{http.StatusRequestTimeout, "the body did not come in time"}
-		} else if err != nil { // cut short: what came is not what the client meant
-			return nil, &rejection{http.StatusBadRequest, "body: " + err.Error()}
+		i += n
+		if rest := text[i+1:]; bytes.HasPrefix(rest, []byte("\n")) {
+			return i + 2
+		} else if bytes.HasPrefix(rest, []byte("\r\n")) {
+			return i + 3
 		}
 	}
-	return r, nil
+}
+
+// twoFramings tells whether a head says in two ways where its request ends.
+func twoFramings(head []byte) bool {
+	var length, encoding bool
+	for line := range bytes.Lines(head) {
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		name = bytes.TrimSpace(name)
+		length = length || bytes.EqualFold(name, []byte("Content-Length"))
+		encoding = encoding || bytes.EqualFold(name, []byte("Transfer-Encoding"))
+	}
+	return length && encoding
 }
 
 // once are the headers that a request may carry; PROTOCOL knows no others.
@@ -320,9 +467,6 @@
 	switch expect := in.Header.Get("Expect"); {
 	case !in.ProtoAtLeast(1, 1):
 		return no(http.StatusHTTPVersionNotSupported, "only HTTP/1.1 is spoken here")
-	case len(in.TransferEncoding) > 0:
-		// net/http drops a Content-Length beside it: a request hidden by the one or the other would go unseen.
-		return no(http.StatusLengthRequired, "Transfer-Encoding: tell the length")
 	case in.Host == "":
 		return no(bad, "Host: missing")
 	case expect != "" && !strings.EqualFold(expect, "100-continue"):
@@ -333,7 +477,7 @@
 		return no(http.StatusRequestEntityTooLarge, "Content-Length: over %d", maxBody)
 	case in.Method == http.MethodGet && in.ContentLength != 0:
 		return no(bad, "Content-Length: a GET has no body")
-	case in.Method == http.MethodPost && in.Header.Get("Content-Length") == "":
+	case in.Method == http.MethodPost && in.ContentLength >= 0 && in.Header.Get("Content-Length") == "":
 		return no(http.StatusLengthRequired, "Content-Length: missing")
 	}
 	for name := range in.Header {
@@ -381,8 +525,18 @@
 		return a, true
 	default:
 	}
+	if !r.upload.Whole() {
+		select {
+		case a := <-r.done:
+			return a, true
+		case <-r.upload.Ended():
+		}
+		if err := r.upload.Err(); err != nil {
+			n.gone(r)
+			return answer{}, false
+		}
+	}
 	c.SetReadDeadline(time.Time{}) // no bound on waiting, also where the connection is to close behind this answer
-	c.cap.N = maxHead
 	left := make(chan bool, 1)
 	go func() {
 		_, err := c.in.Peek(1)
@@ -415,27 +569,6 @@
 	io.CopyN(io.Discard, c.Conn, lingerSize)
 }
 
-// write sends an answer; an error means that the client has left or does not read.
-func (c *clientConn) write(in *http.Request, a answer, last bool) error {
-	h := http.Header{"Date": {time.Now().UTC().Format(http.TimeFormat)}}
-	if t := a.header.Get("Content-Type"); t != "" {
-		h.Set("Content-Type", t)
-	}
-	if a.retryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64))
-	}
-	resp := http.Response{StatusCode: a.status, ProtoMajor: 1, ProtoMinor: 1, Header: h, Request: in, Close: last,
-		ContentLength: int64(len(a.body)), Body: io.NopCloser(bytes.NewReader(a.body))}
-	var b bytes.Buffer
-	b.Grow(512 + len(a.body))
-	if err := resp.Write(&b); err != nil {
-		return err
-	}
-	c.SetWriteDeadline(time.Now().Add(writeTime))
-	_, err := c.Write(b.Bytes())
-	return err
-}
-
 // parseDeadline reads a number and its unit: m for milliseconds or u for microseconds.
 func parseDeadline(s string) (time.Duration, error) {
 	unit := time.Millisecond
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -34,6 +34,14 @@
 func (c *Config) clientLimit() int { return c.shared() / 2 }
 func (c *Config) poolLimit() int   { return c.shared() * 3 / 8 }
 
+// bodyBytes is how much of the bodies of all requests and answers may be held at a time.
+func (c *Config) bodyBytes() int64 {
+	if c.MemoryMB == 0 {
+		return 64 << 20
+	}
+	return int64(c.MemoryMB) << 20 / 8
+}
+
 // shared is how many descriptors clients and backends share.
 func (c *Config) shared() int {
 	if c.Sockets == 0 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,12 +16,13 @@
 	"sync/atomic"
 	"time"
 
+	"springflow/internal/flow"
 	"springflow/internal/mgmt"
 	"springflow/policy"
 )
 
 const (
-	maxBody    = 64 << 10 // bytes of a request's or an answer's body
+	maxBody    = 32 << 20 // bytes of a request's or an answer's body
 	minSockets = 64       // with fewer descriptors a node cannot serve
 	ownSockets = 16       // descriptors for anything but clients and backends
 	transit    = 10 * time.Millisecond
@@ -41,6 +42,7 @@
 	hand    hand
 	pair    pair
 	clients *clients
+	budget  *flow.Budget
 
 	ctx context.Context // ends when the node does; attempts and watches hang on it
 	wg  sync.WaitGroup  // attempts and calls to discovery
@@ -67,25 +69,17 @@
 // request is one client request that this node has taken.
 type request struct {
 	id       string
-	arrived  time.Time     // when its first byte was seen
+	arrived  time.Time     // when its last byte was there, or its head where the body is still to come
 	patience time.Duration // how long its client waits
 	until    time.Duration
 	in       *http.Request
-	body     []byte
+	upload   *flow.Upload
 	attempts []*attempt
 	open     int
 	answered bool
 	done     chan answer // holds the one final answer; never blocks
 }
 
-// answer is what a client is told.
-type answer struct {
-	status     int
-	header     http.Header // of a served request: what the backend sent
-	body       []byte
-	retryAfter time.Duration
-}
-
 // Run serves until ctx ends, finishes what it has taken and returns. A configuration from reload replaces what can
 // be replaced while it serves: the settings, and the address of discovery.
 func Run(ctx context.Context, cfg Config, reload <-chan Config, log *slog.Logger) error {
@@ -146,6 +140,7 @@
 		hand: hand{disabled: map[string]bool{}, returned: map[string]time.Duration{}}}
 	n.set.Store(newSettings(cfg.Settings))
 	n.pool = newPool(cfg)
+	n.budget = flow.NewBudget(cfg.bodyBytes())
 	n.clients = newClients(n)
 	n.pair.succeeded, n.pair.stopped = make(chan struct{}), make(chan struct{})
 	n.limits(1)
@@ -196,6 +191,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if r.answered {
+		n.release(<-r.done)
 		return
 	}
 	r.answered = true
@@ -212,13 +208,28 @@
 	if res.outcome == policy.OK && !r.answered {
 		r.answered = true
 		r.done <- res.answer
+	} else {
+		n.release(res.answer) // nobody waits for it
 	}
 	now := n.clock.now()
+	took := now - a.sent
+	if !res.first.IsZero() { // what follows tells of the network and of the body's size
+		took = max(0, took-time.Since(res.first))
+	}
 	n.handle(now, &policy.Event{Kind: policy.EvOutcome, ID: r.id, Server: a.backend.number, Attempt: a.index,
-		Took: now - a.sent, Last: r.answered, Outcome: res.outcome, Load: res.load})
+		Took: took, Last: r.answered, Spent: r.upload.Spent(), Outcome: res.outcome, Load: res.load})
 	n.forget(r)
 }
 
+// uploaded notes that the last byte of a body that was not whole at the start has come: the request's time begins.
+func (n *node) uploaded(a *attempt) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	r := a.request
+	a.sent = n.clock.now()
+	r.until = a.sent + r.patience - transit
+}
+
 // finish gives a request its final answer, unless it has one.
 func (n *node) finish(id string, a answer) {
 	if r := n.requests[id]; r != nil && !r.answered {
@@ -280,9 +291,9 @@
 		return
 	}
 	a := &attempt{request: r, index: len(r.attempts), backend: n.backends[act.Server], sent: now}
-	a.wait = min(act.Wait, r.until-now)
-	if act.Wait <= 0 {
-		a.wait = r.until - now
+	a.wait = r.until - now
+	if act.Wait > 0 {
+		a.wait = min(a.wait, act.Wait)
 	}
 	ctx, cancel := context.WithCancelCause(n.ctx)
 	a.cancel = cancel
--- a/internal/node/pair.go
+++ b/internal/node/pair.go
@@ -31,6 +31,7 @@
 	mu       sync.Mutex
 	peer     *upgrade.Peer // the other process
 	listener *upgrade.Listener
+	back     func() // takes back what was lent of the bodies' bytes; nil where the limits are not shared
 }
 
 // estate is what a predecessor hands over: what the rules need to hold across the two. What was learnt of the web
@@ -206,16 +207,24 @@
 // Alone takes back the whole of the limits.
 func (n *node) Alone() {
 	n.pair.mu.Lock()
-	n.pair.peer = nil
+	back := n.pair.back
+	n.pair.peer, n.pair.back = nil, nil
 	n.pair.mu.Unlock()
 	n.log.Info("the other process is gone")
-	if !n.pair.hasHeir() {
+	if back != nil {
+		back()
 		n.limits(1)
 	}
 }
 
 // share leaves half of the limits to the other process: both count together.
-func (n *node) share() { n.limits(2) }
+func (n *node) share() {
+	n.limits(2)
+	back := n.budget.Lend()
+	n.pair.mu.Lock()
+	defer n.pair.mu.Unlock()
+	n.pair.back = back
+}
 
 // limits sets what this process may use: its part of the node's descriptors and memory.
 func (n *node) limits(processes int) {
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -59,6 +59,7 @@
 // backendConn is a connection to a backend.
 type backendConn struct {
 	net.Conn
+	stall   time.Duration    // longest wait for further bytes; 0 for none. Its owner's
 	cap     io.LimitedReader // between the socket and in: no answer goes on without end
 	in      *bufio.Reader
 	backend *backend
@@ -66,6 +67,18 @@
 	place   *lists.Element // and where; nil while it has an owner. Guarded by pool.mu
 }
 
+// pacedReader bounds each wait for bytes of an answer.
+type pacedReader struct{ c *backendConn }
+
+func (r pacedReader) Read(p []byte) (int, error) {
+	if r.c.stall > 0 {
+		if err := r.c.SetReadDeadline(time.Now().Add(r.c.stall)); err != nil {
+			return 0, err
+		}
+	}
+	return r.c.Conn.Read(p)
+}
+
 // get returns a connection to b that nothing waits on, or opens one. Whoever has it hands it to put or close.
 func (p *pool) get(ctx context.Context, b *backend) (*backendConn, error) {
 	for {
@@ -130,7 +143,7 @@
 		return nil, err
 	}
 	c := &backendConn{Conn: conn, backend: b}
-	c.cap.R = conn
+	c.cap.R = pacedReader{c}
 	c.in = bufio.NewReader(&c.cap)
 	return c, nil
 }
--- /dev/null
+++ b/internal/node/stream_test.go
@@ -0,0 +1,270 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"springflow/internal/flow"
+)
+
+// pattern is a body of the given size in which no part looks like another.
+func pattern(size int) string {
+	var b strings.Builder
+	for i := 0; b.Len() < size; i++ {
+		fmt.Fprintf(&b, "%d,", i)
+	}
+	return b.String()[:size]
+}
+
+// chunked is text in chunks of unlike sizes, with an extension and a trailer.
+func chunked(text string) string {
+	var b strings.Builder
+	for size := 1; text != ""; size = size*3%70001 + 1 {
+		n := min(size, len(text))
+		fmt.Fprintf(&b, "%x;part=x\r\n%s\r\n", n, text[:n])
+		text = text[n:]
+	}
+	return b.String() + "0\r\nX-Sum: 7\r\n\r\n"
+}
+
+// allBack waits until everything that bodies held is given back.
+func allBack(t *testing.T, r *rig) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	size := r.cfg.bodyBytes()
+	if err := r.budget.Answer(ctx, size); err != nil {
+		t.Errorf("bytes of bodies are still held: %v", err)
+		return
+	}
+	r.budget.AnswerDone(size)
+}
+
+// Bodies of every size pass unchanged both ways, however they are framed and cut.
+func TestBodiesPassUnchanged(t *testing.T) {
+	t.Parallel()
+	for _, size := range []int{0, 1, flow.Keep - 1, flow.Keep, flow.Keep + 1, 3 << 20} {
+		text := pattern(size)
+		for name, answer := range map[string]func(c net.Conn) bool{
+			"a length": func(c net.Conn) bool { return reply(c, 200, "", text) },
+			"chunks": func(c net.Conn) bool {
+				_, err := io.WriteString(c, "HTTP/1.1 200\r\ntransfer-encoding: chunked\r\n\r\n"+chunked(text))
+				return err == nil
+			},
+			"the connection's end": func(c net.Conn) bool {
+				io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+text)
+				return false
+			},
+		} {
+			t.Run(fmt.Sprint(size, " by ", name), func(t *testing.T) {
+				t.Parallel()
+				passUnchanged(t, text, answer, name != "the connection's end")
+			})
+		}
+	}
+}
+
+// passUnchanged sends text with its length told and in chunks, in pieces, and wants it at the backend and back.
+func passUnchanged(t *testing.T, text string, answer func(c net.Conn) bool, keeps bool) {
+	b := newBox(t, func(c net.Conn, r *http.Request, _ int) bool {
+		if got, _ := io.ReadAll(r.Body); string(got) != text {
+			t.Errorf("the backend got %d other bytes", len(got))
+		}
+		return answer(c)
+	})
+	r := newRig(t, newRegistry(t), settingsJSON, func(c *Config) { c.MemoryMB = 32 }, b.entry("s-1"))
+	c := r.dial(t)
+	told, untold := save("told"), save("untold")
+	told.body = text
+	for _, whole := range []string{told.text(), strings.Replace(untold.text(), "Content-Length: 8\r\n\r\n"+untold.body,
+		"Transfer-Encoding: chunked\r\n\r\n"+chunked(text), 1)} {
+		go func() {
+			for rest := whole; len(rest) > 0; {
+				n := min(len(rest), 50_021)
+				if _, err := io.WriteString(c, rest[:n]); err != nil {
+					t.Error(err)
+					return
+				}
+				rest = rest[n:]
+			}
+		}()
+		if resp, body := c.answer(); resp.StatusCode != 200 || body != text || resp.Close {
+			t.Errorf("%d with %d bytes, close %v", resp.StatusCode, len(body), resp.Close)
+		}
+	}
+	if n := b.connections(); keeps && n != 1 {
+		t.Errorf("%d connections, want the first kept", n)
+	}
+	allBack(t, r)
+}
+
+// What a backend has given of a large answer is passed on at once; where it then breaks off, the client can tell.
+func TestLargeAnswerIsPassedOnAsItComes(t *testing.T) {
+	t.Parallel()
+	part := pattern(100 << 10)
+	for name, head := range map[string]string{
+		"a length": fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", 2*len(part)),
+		"chunks":   fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", 2*len(part)),
+	} {
+		goOn := make(chan struct{})
+		b := newBox(t, func(c net.Conn, r *http.Request, _ int) bool {
+			io.WriteString(c, head+part)
+			<-goOn
+			return false
+		})
+		r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
+		c := r.dial(t)
+		c.send(quote("q").text())
+		resp, err := http.ReadResponse(c.in, nil)
+		must(t, err)
+		got := make([]byte, len(part))
+		if _, err := io.ReadFull(resp.Body, got); err != nil || string(got) != part {
+			t.Errorf("%s: the part that has come: %v", name, err)
+		}
+		close(goOn)
+		if _, err := io.Copy(io.Discard, resp.Body); !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Errorf("%s: at the break %v, want the client to see that it is not whole", name, err)
+		}
+		allBack(t, r)
+	}
+}
+
+// Nobody asks for the rest of an answer once the client has left.
+func TestClientLeavesALargeAnswer(t *testing.T) {
+	t.Parallel()
+	broken := make(chan struct{})
+	b := newBox(t, func(c net.Conn, r *http.Request, _ int) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", maxBody)
+		for range maxBody >> 10 {
+			if _, err := io.WriteString(c, strings.Repeat("x", 1<<10)); err != nil {
+				close(broken)
+				return false
+			}
+		}
+		return true
+	})
+	r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
+	c := r.dial(t)
+	c.send(quote("q").text())
+	if _, err := c.in.ReadByte(); err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+	select {
+	case <-broken:
+	case <-time.After(patience):
+		t.Error("the backend goes on sending")
+	}
+	allBack(t, r)
+}
+
+// A large body is gone once a part of it was sent: the request can't be tried again. A small one can.
+func TestOnlyWhatIsInHandIsSentAgain(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct{ size, status, sends int }{{flow.Keep, 200, 2}, {flow.Keep + 1, 500, 1}} {
+		var sends atomic.Int64
+		breaks := func(c net.Conn, r *http.Request, nth int) bool {
+			return sends.Add(1) > 1 && served(c, r, nth) // the first send breaks off
+		}
+		b, o := newBox(t, breaks), newBox(t, breaks)
+		r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"), o.entry("s-2"))
+		q := save("q")
+		q.body = strings.Repeat("x", c.size)
+		if resp, _ := r.dial(t).ask(q); resp.StatusCode != c.status || int(sends.Load()) != c.sends {
+			t.Errorf("%d bytes: %d after %d sends, want %d after %d", c.size, resp.StatusCode, sends.Load(), c.status, c.sends)
+		}
+		allBack(t, r)
+	}
+}
+
+// A request that is given up has its answer at once, though its body is still to come; the client can send the rest
+// and read it.
+func TestRefusedBeforeTheBodyHasCome(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, newRegistry(t), settingsJSON, nil)
+	q := save("q")
+	q.body = strings.Repeat("x", 1<<20)
+	c := r.dial(t)
+	c.send(q.text()[:1000])
+	resp, _ := c.answer()
+	if resp.StatusCode != 503 || !resp.Close || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("answered %d, close %v", resp.StatusCode, resp.Close)
+	}
+	c.send(q.text()[1000:])
+	if _, err := c.in.ReadByte(); err != io.EOF {
+		t.Errorf("behind the answer: %v, want the connection closed", err)
+	}
+	allBack(t, r)
+}
+
+// A client that waits to be told to go on is told so; one that leaves amid its body harms nobody.
+func TestExpectAndLeave(t *testing.T) {
+	t.Parallel()
+	b := newBox(t, served)
+	r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
+	q := save("q")
+	q.body = pattern(200 << 10)
+	head, _, _ := strings.Cut(q.text(), "\r\n\r\n")
+	c := r.dial(t)
+	c.send("\r\n" + head + "\r\nExpect: 100-continue\r\n\r\n")
+	if resp, err := http.ReadResponse(c.in, nil); err != nil || resp.StatusCode != 100 {
+		t.Fatalf("%v, %v; want to be told to go on", resp, err)
+	}
+	c.send(q.body)
+	if resp, _ := c.answer(); resp.StatusCode != 200 {
+		t.Errorf("answered %d", resp.StatusCode)
+	}
+	q.id = "left"
+	leaver := r.dial(t)
+	leaver.send(q.text()[:100<<10])
+	wait(t, "the request", func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.requests["left"] != nil
+	})
+	leaver.Close()
+	wait(t, "its end", func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return len(r.requests) == 0
+	})
+	if n := len(b.requests()); n != 1 {
+		t.Errorf("the backend got %d whole requests, want 1", n)
+	}
+	allBack(t, r)
+}
+
+func TestHeads(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		text string
+		end  int
+		two  bool
+	}{
+		{"GET / HTTP/1.1\r\nHost: x\r\n\r\nrest", 27, false},
+		{"GET / HTTP/1.1\nHost: x\n\nrest", 24, false},
+		{"GET / HTTP/1.1\r\nHost: x\r\n\r", 0, false},
+		{"POST / HTTP/1.1\r\ncontent-length : 3\r\nTRANSFER-ENCODING:chunked\r\n\r\n", 66, true},
+		{"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nContent-Length: 3\r\n\r\n", 47, false},
+	} {
+		if n := headEnd([]byte(c.text), 0); n != c.end {
+			t.Errorf("%q: ends at %d, want %d", c.text, n, c.end)
+		} else if two := twoFramings([]byte(c.text[:n])); two != c.two {
+			t.Errorf("%q: two framings %v", c.text, two)
+		}
+		cl := &clientConn{in: bufio.NewReaderSize(iotest.OneByteReader(strings.NewReader(c.text)), maxHead)}
+		if head, err := cl.head(); c.end > 0 && string(head) != c.text[:c.end] || (err == nil) != (c.end > 0) {
+			t.Errorf("%q byte by byte: %q, %v", c.text, head, err)
+		}
+	}
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -195,6 +195,7 @@
 	Attempt  int           // EvOutcome: number of the attempt, from 0 in the order of the sends
 	Took     time.Duration // EvOutcome: since the send
 	Last     bool          // EvOutcome: the request is finished
+	Spent    bool          // EvOutcome: a part of the body is gone, it can't be sent again
 	Outcome  Outcome       // EvOutcome
 	Load     Load          // EvOutcome
 	List     ListKind      // EvList
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -243,7 +243,7 @@
 		r.mayRun, r.mayRunAt = s, now-ev.Took.Seconds()
 	}
 	r.avoid = s
-	if b.mayRetry(now, r) && b.try(now, r) {
+	if !ev.Spent && b.mayRetry(now, r) && b.try(now, r) {
 		b.retries--
 	} else {
 		b.finish(now, r)
