Pass chunks on as they come without reading byte by byte

A profile shows half of the time in downloads, and there the last 16 bytes of each buffer went on one by one, each in a chunk and a write of its own. Now all that is surely data is read at once.

Ruled out: the byte budget (no rejection in the logs), the stall limits (gaps of 45 ms), and letting small pieces gather for 50 or 100 ms, which saved no CPU (3.1 to 4.3 s) and made a fast answer in chunks slow.

--- a/internal/node/answer.go
+++ b/internal/node/answer.go
@@ -51,24 +51,13 @@
 		head: int64(len(got.body)), conn: c, resp: got.resp, held: got.held, pool: n.pool, budget: n.budget}
 }
 
-// framing is about what the line between two chunks takes.
-const framing = 16
-
 // Read passes on what has come, and marks a sound end.
 func (d *download) Read(p []byte) (int, error) {
-	// The parser of chunks fills all of p, however long a chunk takes to come: wait for one byte, and then ask for no
-	// more than is there.
-	behind := d.length < 0 && d.passed >= d.head
-	q := p
-	if behind {
-		q = p[:min(len(p), 1)]
-	}
-	n, err := d.Reader.Read(q)
-	if there := min(d.conn.in.Buffered()-framing, len(p)-n); behind && err == nil && there > 0 {
-		var m int
-		m, err = d.Reader.Read(p[n : n+there])
-		n += m
+	read := d.Reader.Read
+	if len(d.resp.TransferEncoding) > 0 && d.passed >= d.head {
+		read = d.readChunks
 	}
+	n, err := read(p)
 	if d.passed += int64(n); d.passed > maxBody {
 		return 0, errTooLarge
 	}
@@ -76,6 +65,33 @@
 	return n, err
 }
 
+// readChunks reads from a body in chunks. Their parser fills all that it is given, however long a chunk takes to come:
+// it is asked only for what is there. Behind the data of a chunk comes a '\r', so that all before the next one is data.
+func (d *download) readChunks(p []byte) (int, error) {
+	in := d.conn.in
+	for n := 0; ; {
+		there, _ := in.Peek(in.Buffered())
+		want := bytes.IndexByte(there, '\r')
+		if want < 0 {
+			want = len(there)
+		}
+		if want == 0 { // nothing is there, or perhaps a chunk's end: the next one's first byte may have to be waited for
+			next := bytes.IndexByte(there, '\n') + 1
+			if size := bytes.IndexByte(there[next:], '\n'); n > 0 && (size < 0 || next+size+1 == len(there)) {
+				return n, nil
+			}
+			want = 1
+		}
+		if want = min(want, len(p)-n); want == 0 {
+			return n, nil
+		}
+		m, err := d.Reader.Read(p[n : n+want])
+		if n += m; err != nil {
+			return n, err
+		}
+	}
+}
+
 // Close gives back what the answer held. Only a connection on which it was sound is used again.
 func (d *download) Close() error {
 	if d.ended && d.conn.reusable(d.resp) {
