Let small bodies skip the byte budget and spare large answers when leaving

A body of up to 4 KiB is not counted, so that it never waits behind large ones that stall. A request whose large body breaks off, stands still or is too large is told why before its connection closes. A process that leaves breaks off large bodies only a minute after the last deadline. GET /-/ready no longer says no in a drain: it is how an upgrade is watched, and the front asks GET /ready.

Rejected: no limit at all on large bodies of a process that leaves; a client that reads a byte now and then would keep it for ever.

--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -19,8 +19,22 @@
 	Keep = 64 << 10
 	// Chunk is what a body in motion holds, its buffers on both sides included.
 	Chunk = 64 << 10
+	// Small is what is not counted: nobody with so little waits behind large bodies.
+	Small = 4 << 10
 )
 
+// Need is how many bytes of the budget a body of the given length takes, or one of an unknown length where that is
+// negative.
+func Need(length int64) int64 {
+	switch {
+	case length < 0 || length > Keep:
+		return Chunk
+	case length <= Small:
+		return 0
+	}
+	return length
+}
+
 // Budget is the bytes that a process may hold of all bodies together. Whoever needs more waits: that is the
 // backpressure.
 type Budget struct {
@@ -123,7 +137,7 @@
 // Held is how many bytes of the budget it uses.
 func (u *Upload) Held() int64 {
 	if u.whole {
-		return u.Length
+		return Need(u.Length)
 	}
 	return Chunk
 }
--- a/internal/node/backends.go
+++ b/internal/node/backends.go
@@ -270,10 +270,7 @@
 		}
 		got.resp = resp
 		c.cap.N = 2*flow.Keep + maxHead // chunks have lengths of their own
-		got.held = resp.ContentLength
-		if got.held < 0 || got.held > flow.Keep {
-			got.held = flow.Chunk
-		}
+		got.held = flow.Need(resp.ContentLength)
 		if err := n.budget.Answer(ctx, got.held); err != nil {
 			return received{}, err
 		}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -32,7 +32,9 @@
 	// silentTime is how long a new connection may say nothing before it makes room first: a request comes on its heels.
 	silentTime = 200 * time.Millisecond
 	// idleTime is how long a connection is kept that carries no request. Some clients keep theirs for good.
-	idleTime   = 5 * time.Second
+	idleTime = 5 * time.Second
+	// streamTime is how long large bodies may go on when the node leaves and the last deadline has passed.
+	streamTime = time.Minute
 	lateTime   = 30 * time.Second       // for the rest of a request that has its answer already
 	lingerTime = 100 * time.Millisecond // for a rejected client to read why before its connection is reset
 	lingerSize = 256 << 10              // and how much of what it goes on sending is read meanwhile
@@ -58,12 +60,13 @@
 	over  bool // there were too many already when it came
 
 	// Guarded by clients.mu.
-	begun   time.Time // when the first byte of its first request was seen
-	reading bool      // the first byte of a request is there, the last is not
-	busy    bool      // a request is being answered
-	used    bool      // one has been
-	since   time.Time // when it came or its last request was answered
-	closing bool      // it made room for another, or the node leaves
+	begun     time.Time // when the first byte of its first request was seen
+	reading   bool      // the first byte of a request is there, the last is not
+	busy      bool      // a request is being answered
+	streaming bool      // its body, or the answer's, is large and on its way
+	used      bool      // one has been
+	since     time.Time // when it came or its last request was answered
+	closing   bool      // it made room for another, or the node leaves
 }
 
 func newClients(n *node) *clients {
@@ -102,7 +105,7 @@
 		time.Sleep(acceptFor)
 		err = n.stopAccepting(ln, failed)
 	}
-	s.closeAll(false) // the clients of those on which no request has come turn to other nodes
+	s.closeIdle() // the clients of those on which no request has come turn to other nodes
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -110,8 +113,14 @@
 	}()
 	select {
 	case <-done:
+		return err
 	case <-time.After(n.set.Load().longest() + transit):
-		s.closeAll(true) // the last deadline has passed
+		s.cut(false) // the last deadline has passed
+	}
+	select {
+	case <-done:
+	case <-time.After(streamTime):
+		s.cut(true)
 		<-done
 	}
 	return err
@@ -207,14 +216,23 @@
 	}
 }
 
-// closeAll closes the connections that carry no request; with cut it breaks off the others too.
-func (s *clients) closeAll(cut bool) {
+// cut breaks connections off: those that carry no large body, or all.
+func (s *clients) cut(all bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if cut {
+		if all || !c.streaming {
 			c.Close()
-		} else if !c.busy && !c.reading && pending(c.Conn) == nothing {
+		}
+	}
+}
+
+// closeIdle closes the connections that carry no request.
+func (s *clients) closeIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if !c.busy && !c.reading && pending(c.Conn) == nothing {
 			s.drop(c) // with a request on its way it closes behind that one's answer
 		}
 	}
@@ -224,7 +242,7 @@
 func (s *clients) mark(c *clientConn, busy bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.busy, c.used, c.reading, c.since = busy, true, false, time.Now()
+	c.busy, c.used, c.reading, c.streaming, c.since = busy, true, false, false, time.Now()
 	return !c.closing && (busy || !s.node.life.sendsAway())
 }
 
@@ -260,6 +278,7 @@
 	defer s.node.budget.RequestDone(r.upload.Held())
 	stays := true
 	if !r.upload.Whole() {
+		s.stream(c)
 		pumped := make(chan struct{})
 		go func() {
 			defer close(pumped)
@@ -285,12 +304,22 @@
 	default:
 		early = true
 	}
+	if a.stream != nil {
+		s.stream(c)
+	}
 	last := r.in.Close || c.over || early || s.node.life.sendsAway()
 	stays = c.write(r.in, a, last) == nil && !last
 	s.node.release(a)
 	return stays
 }
 
+// stream notes that a large body is on its way.
+func (s *clients) stream(c *clientConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.streaming = true
+}
+
 // linger lets a client finish its request before the connection is closed: closing resets one on which something is
 // unread, and with it the answer that the client has not read.
 func (s *clients) linger(c *clientConn, pumped <-chan struct{}) {
@@ -353,10 +382,7 @@
 // body reads the body of a request, if that is small; what is large is passed on while it comes.
 func (s *clients) body(c *clientConn, r *request) *rejection {
 	in := r.in
-	held := in.ContentLength
-	if held < 0 || held > flow.Keep {
-		held = flow.Chunk
-	}
+	held := flow.Need(in.ContentLength)
 	ctx, cancel := context.WithTimeout(s.node.ctx, roomTime)
 	defer cancel()
 	if s.node.budget.Request(ctx, held) != nil {
@@ -369,10 +395,7 @@
 	up, err := flow.NewUpload(s.paced(c, in.Body), in.ContentLength)
 	if err != nil {
 		s.node.budget.RequestDone(held)
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			return &rejection{http.StatusRequestTimeout, "the body did not come in time"}
-		}
-		return &rejection{http.StatusBadRequest, "body: " + err.Error()} // cut short: what came is not what was meant
+		return badBody(err)
 	}
 	if up.Held() < held {
 		s.node.budget.RequestDone(held - up.Held())
@@ -381,6 +404,17 @@
 	return nil
 }
 
+// badBody tells a client why its body could not be read.
+func badBody(err error) *rejection {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &rejection{http.StatusRequestTimeout, "the body did not come in time"}
+	case errors.Is(err, errTooLarge):
+		return &rejection{http.StatusRequestEntityTooLarge, fmt.Sprintf("body: over %d bytes", maxBody)}
+	}
+	return &rejection{http.StatusBadRequest, "body: " + err.Error()} // cut short: what came is not what was meant
+}
+
 // paced returns a reader of a request's body that gives up on a client which stands still, or is too slow.
 func (s *clients) paced(c *clientConn, body io.Reader) io.Reader {
 	return &pacedBody{clients: s, conn: c, body: body}
@@ -533,6 +567,7 @@
 		}
 		if err := r.upload.Err(); err != nil {
 			n.gone(r)
+			c.reject(badBody(err))
 			return answer{}, false
 		}
 	}
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -65,7 +65,7 @@
 		// The front notices after a while; until then clients use the connections that they have.
 		time.AfterFunc(acceptFor, func() {
 			if n.life.sendsAway() {
-				n.clients.closeAll(false)
+				n.clients.closeIdle()
 			}
 		})
 	}
@@ -86,13 +86,13 @@
 	}
 }
 
-var errNotReady = errors.New("it starts, knows no web server that is ready, or sends clients away")
+var errNotReady = errors.New("it starts, knows no web server that is ready, or leaves")
 
-// Ready tells whether this process takes clients.
+// Ready tells whether this process serves. A drain does not change that: it is for the front, which asks GET /ready.
 func (n *node) Ready() error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !n.ready || n.life.sendsAway() || !n.pair.up.Load() {
+	if !n.ready || n.life.now() == leaving || !n.pair.up.Load() {
 		return errNotReady
 	}
 	return nil
--- a/internal/node/pair.go
+++ b/internal/node/pair.go
@@ -210,6 +210,9 @@
 	back := n.pair.back
 	n.pair.peer, n.pair.back = nil, nil
 	n.pair.mu.Unlock()
+	n.mu.Lock()
+	n.pair.theirs = nil
+	n.mu.Unlock()
 	n.log.Info("the other process is gone")
 	if back != nil {
 		back()
--- /dev/null
+++ b/internal/node/pair_test.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"springflow/internal/upgrade"
+)
+
+// A successor holds to what its predecessor was told, and while both run what one is told the other does.
+func TestPairIsOneNode(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	release := make(chan struct{})
+	a, b := newBox(t, firstHeld(release)), newBox(t, served)
+	g := newRegistry(t)
+	old := newRig(t, g, settingsJSON, nil, a.entry("s-1"))
+	busy, idle := old.dial(t), old.dial(t)
+	busy.send(quote("open").text())
+	wait(t, "the request at the backend", func() bool { return len(a.requests()) == 1 })
+	idle.ask(view("v"))
+	old.lists(7, a.entry("s-1"), b.entry("s-2"), listed{ID: "s-3", Addr: "127.0.0.1:1", State: "Terminating"})
+	must(t, old.Disable(ctx, "s-1"))
+	must(t, old.Disable(ctx, "s-2"))
+	must(t, old.Enable(ctx, "s-2"))
+
+	path := filepath.Join(t.TempDir(), "sock")
+	l, err := upgrade.Listen(path, old, slog.New(slog.DiscardHandler), old.pair.met)
+	must(t, err)
+	defer l.Close()
+	peer, text, err := upgrade.Dial(path)
+	must(t, err)
+	est := &estate{peer: peer}
+	must(t, json.Unmarshal(text, est))
+	young := newHeir(t, est, g, settingsJSON, nil)
+	wait(t, "the successor's readiness", func() bool { return young.Ready() == nil })
+
+	young.mu.Lock()
+	if young.version != 7 || len(young.names) != 3 || young.names["s-3"].stop.Load() == 0 {
+		t.Errorf("list %d with %d web servers, want 7 with 3 of which one drains", young.version, len(young.names))
+	}
+	if young.hand.returned["s-2"] != old.hand.returned["s-2"] || young.hand.returned["s-2"] == 0 {
+		t.Error("a web server that is cold by hand is not any more")
+	}
+	young.mu.Unlock()
+	if resp, _ := young.dial(t).ask(quote("open")); resp.StatusCode != 409 {
+		t.Errorf("the id of a request that the predecessor has open: %d", resp.StatusCode)
+	}
+	if resp, _ := young.dial(t).ask(view("w")); resp.StatusCode != 200 && resp.StatusCode != 503 {
+		t.Errorf("a request at the successor: %d", resp.StatusCode)
+	}
+	if n := len(a.requests()); n != 2 {
+		t.Errorf("%d requests at a web server that is out, want the 2 from before", n)
+	}
+
+	disabled := func(r *rig, id string) bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.hand.disabled[id] && r.names[id].gate.shut
+	}
+	must(t, young.Disable(ctx, "s-2"))
+	must(t, old.Disable(ctx, "s-3"))
+	if !disabled(old, "s-2") || !disabled(young, "s-3") {
+		t.Error("an order did not reach the other process")
+	}
+	// The old process has stopped accepting. It closes what is idle and ends once all it took is answered.
+	if _, err := net.Dial("tcp", old.addr); err == nil {
+		t.Error("the old process still accepts")
+	}
+	if _, err := idle.in.ReadByte(); err != io.EOF {
+		t.Errorf("an idle connection: %v, want it closed", err)
+	}
+	close(release)
+	if resp, body := busy.answer(); resp.StatusCode != 200 || body != "done open" || !resp.Close {
+		t.Errorf("the request taken before: %d %q, close %v", resp.StatusCode, body, resp.Close)
+	}
+	select {
+	case err := <-old.exited:
+		must(t, err)
+		old.exited <- err
+	case <-time.After(patience):
+		t.Error("the old process does not end")
+	}
+}
+
+// A large answer goes on when the node leaves, also past the last deadline.
+func TestLeavingSparesLargeAnswers(t *testing.T) {
+	t.Parallel()
+	text := pattern(200 << 10)
+	goOn := make(chan struct{})
+	b := newBox(t, func(c net.Conn, r *http.Request, _ int) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text[:100<<10])
+		<-goOn
+		io.WriteString(c, text[100<<10:])
+		return true
+	})
+	short := strings.ReplaceAll(settingsJSON, `"deadline_s":60`, `"deadline_s":0.1`)
+	r := newRig(t, newRegistry(t), short, nil, b.entry("s-1"))
+	c := r.dial(t)
+	c.in = bufio.NewReaderSize(c, 16)
+	c.send(quote("q").text())
+	wait(t, "the answer's beginning", func() bool { return pending(c.Conn) == bytesThere })
+	r.leave()
+	time.Sleep(acceptFor + 500*time.Millisecond) // past the last deadline
+	close(goOn)
+	if resp, body := c.answer(); resp.StatusCode != 200 || body != text {
+		t.Errorf("%d with %d bytes", resp.StatusCode, len(body))
+	}
+}
