Let idle cold servers take what all others would refuse

Servers out by hand counted as warm ones that serve nothing, which halved that share.

A request that no other server takes goes to a cold one in normal mode that has nothing of this node's and reports nothing: with one attempt of each of at most four nodes in flight it is sent only as fast as it answers. Servers out by hand are not counted as warm. The test of the cold budget now lets the cold server answer as fast as its ramp allows; before it answered at once.

Rejected: a larger share for all cold servers. It is sent open loop, whether the server keeps up or not, and the budget of 2.5 times its capacity leaves no room.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -43,6 +43,7 @@
 	ejectMost = 8.0  // up to this
 	crowdAt   = 5.0  // time in work beyond this multiple of the kind's best tells of a crowd, not of chance
 	coldPart  = 0.67 // of the multiple that brings a cold backend down: so much it is sent at most
+	fewNodes  = 4    // so many nodes may each have an attempt at a cold backend
 	retryPart = 0.2  // further attempts that each first one allows
 	retryBank = 10.0 // and how many may be saved up
 	askAgain  = 1.0  // after a lost list a node asks again within about this
@@ -458,7 +459,7 @@
 
 // pick draws a backend in the given mode or a better one, by weights that fall with the expected delay.
 func (b *Balancer) pick(now float64, r *request, worst mode) *server {
-	var chosen *server
+	var chosen, spare *server
 	sum := 0.0
 	b.picks++
 	for _, s := range b.order {
@@ -473,6 +474,12 @@
 			if b.rng.Float64() < s.chance*ramp*b.set.FallFactor*coldPart {
 				return s
 			}
+			// It may also take what nobody else does while it has nothing: with one attempt of each of a few
+			// nodes in flight it is sent only as fast as it answers, however cold it is.
+			idle := s.own == 0 && s.mode == normal && b.waiting(s, now) < 1
+			if idle && b.set.Nodes <= fewNodes && (spare == nil || b.rng.Float64() < 0.5) {
+				spare = s
+			}
 			continue
 		}
 		// Other nodes see the same and do alike: an own attempt stands for one of each. Without this many
@@ -487,7 +494,7 @@
 			chosen = s
 		}
 	}
-	return chosen
+	return cmp.Or(chosen, spare)
 }
 
 // plan runs a few times a second: it ages what was learnt and renews what the requests then use.
@@ -515,7 +522,7 @@
 				p.told++
 			}
 			p.occupancy += s.occupancy
-			if s.State == Active && now >= s.ejected && b.ramp(s, now) == 1 {
+			if s.State == Active && !s.disabled && now >= s.ejected && b.ramp(s, now) == 1 {
 				p.served += s.served
 				p.warm++
 			}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -617,11 +617,18 @@
 }
 
 // What goes beyond a tenant's share is worth little: it is diverted first, and only it.
-// An idle cold backend beside crowded warm ones draws everybody; its budget must hold whatever the weights.
+// An idle cold backend beside crowded warm ones draws everybody; its budget must hold whatever the weights. It answers
+// as fast as it can at its ramp: what it is sent while it has nothing may come no faster.
 func TestColdBudgetHoldsBesideCrowdedBackends(t *testing.T) {
 	set := settings()
 	b := node(t, set, Entry{ID: 1, Zone: "a", Kind: "k"}, Entry{ID: 2, Zone: "a", Kind: "k"})
 	now, n, got := t0, 0, 0
+	type pending struct {
+		send Action
+		at   time.Duration
+	}
+	var out []pending      // at the cold one,
+	var free time.Duration // which has done them by then
 	step := func() Action {
 		now += 10 * time.Millisecond
 		if n++; n%25 == 0 {
@@ -631,8 +638,17 @@
 			fix(b.servers[id], now, 15)
 			b.servers[id].mode = normal
 		}
+		for len(out) > 0 && out[0].at <= now {
+			outcome(b, now, out[0].send, OK, Load{})
+			out = out[1:]
+		}
 		send := ask(b, now, now.String(), "low")
-		outcome(b, now, send, OK, Load{})
+		if send.Server != 3 {
+			outcome(b, now, send, OK, Load{})
+			return send
+		}
+		free = max(free, now) + time.Duration(float64(20*time.Millisecond)/b.ramp(b.servers[3], now.Seconds()))
+		out = append(out, pending{send, free})
 		return send
 	}
 	for range 1000 {
