Let answers that trickle gather, and spare kept connections amid a head

An answer on its way that has brought under 16 KiB since it last stood still is left to gather for 100 ms behind its first bytes: passing on each piece took most of a node's time. When connections are short, one that a client keeps and is sending a head on no longer goes before new ones.

Rejected: splice between the sockets. It saves copies, not system calls, and those are the cost here.

--- a/internal/node/answer.go
+++ b/internal/node/answer.go
@@ -35,6 +35,7 @@
 	length    int64 // -1 where it is not known ahead
 	head      int64 // bytes of it that were read ahead
 	passed    int64
+	gathered  int // bytes since it last stood still
 	conn      *backendConn
 	resp      *http.Response
 	held      int64 // bytes of the budget
@@ -51,13 +52,28 @@
 		head: int64(len(got.body)), conn: c, resp: got.resp, held: got.held, pool: n.pool, budget: n.budget}
 }
 
+const (
+	// An answer that trickles is left to gather so many bytes behind its first ones,
+	gather = 16 << 10
+	// or for so long: passing on each little piece by itself would take a node most of its time.
+	lull    = 100 * time.Millisecond
+	framing = 16 // about what stands between the data of two chunks
+)
+
 // Read passes on what has come, and marks a sound end.
 func (d *download) Read(p []byte) (int, error) {
+	if d.passed > d.head && d.conn.drained && d.conn.in.Buffered() <= framing {
+		if d.conn.drained = false; d.gathered < gather {
+			time.Sleep(lull)
+		}
+		d.gathered = 0
+	}
 	read := d.Reader.Read
 	if len(d.resp.TransferEncoding) > 0 && d.passed >= d.head {
 		read = d.readChunks
 	}
 	n, err := read(p)
+	d.gathered += n
 	if d.passed += int64(n); d.passed > maxBody {
 		return 0, errTooLarge
 	}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -60,7 +60,7 @@
 	over  bool // there were too many already when it came
 
 	// Guarded by clients.mu.
-	begun     time.Time // when the first byte of its first request was seen
+	begun     time.Time // when the first byte of its latest request was seen
 	reading   bool      // the first byte of a request is there, the last is not
 	busy      bool      // a request is being answered
 	streaming bool      // its body, or the answer's, is large and on its way
@@ -187,7 +187,7 @@
 		if c.busy || rank > best || rank == best && !c.since.Before(spare.since) {
 			continue
 		}
-		if c.used || time.Since(c.begun) > readTime && pending(c.Conn) == nothing {
+		if c.used && !c.reading || time.Since(c.begun) > readTime && pending(c.Conn) == nothing {
 			spare, best = c, rank
 		}
 	}
@@ -344,10 +344,7 @@
 	}
 	begun := time.Now()
 	s.mu.Lock()
-	c.reading = true
-	if !c.used {
-		c.begun = begun
-	}
+	c.reading, c.begun = true, begun
 	s.mu.Unlock()
 	if c.used {
 		end = begun.Add(headTime)
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -59,7 +59,8 @@
 // backendConn is a connection to a backend.
 type backendConn struct {
 	net.Conn
-	stall   time.Duration    // longest wait for further bytes; 0 for none. Its owner's
+	stall   time.Duration    // longest wait for further bytes; 0 for none. Its owner's,
+	drained bool             // as is that the last read took all that had come
 	cap     io.LimitedReader // between the socket and in: no answer goes on without end
 	in      *bufio.Reader
 	backend *backend
@@ -76,7 +77,9 @@
 			return 0, err
 		}
 	}
-	return r.c.Conn.Read(p)
+	n, err := r.c.Conn.Read(p)
+	r.c.drained = n < len(p)
+	return n, err
 }
 
 // get returns a connection to b that nothing waits on, or opens one. Whoever has it hands it to put or close.
