--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"path"
 	"sync"
 	"time"
 )
@@ -95,7 +96,7 @@
 // handler knows the calls. Unknown paths and methods are answered with 404 and 405 by the mux.
 func handler(node Node, log *slog.Logger) http.Handler {
 	mux := http.NewServeMux()
-	answer := func(w http.ResponseWriter, r *http.Request, err error) {
+	answer := func(w http.ResponseWriter, err error) {
 		status, text := http.StatusOK, "ok"
 		switch {
 		case errors.Is(err, ErrUnknown):
@@ -107,19 +108,25 @@
 		w.WriteHeader(status)
 		io.WriteString(w, text+"\n")
 	}
-	mux.HandleFunc("GET /-/ready", func(w http.ResponseWriter, r *http.Request) { answer(w, r, node.Ready()) })
+	mux.HandleFunc("GET /-/ready", func(w http.ResponseWriter, r *http.Request) { answer(w, node.Ready()) })
 	order := func(pattern string, do func(ctx context.Context, id string) error) {
 		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
 			ctx, cancel := context.WithTimeout(r.Context(), answerTime)
 			defer cancel()
 			err := do(ctx, r.PathValue("id"))
 			log.Info("operators' call", "call", fmt.Sprint(r.Method, " ", r.URL.Path), "err", err)
-			answer(w, r, err)
+			answer(w, err)
 		})
 	}
 	order("POST /-/web-servers/{id}/disable", node.Disable)
 	order("POST /-/web-servers/{id}/enable", node.Enable)
 	order("POST /-/drain", func(ctx context.Context, _ string) error { return node.Drain(ctx) })
 	order("POST /-/resume", func(ctx context.Context, _ string) error { return node.Resume(ctx) })
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if path.Clean(r.URL.Path) != r.URL.Path { // the mux would send the caller elsewhere, which is no answer
+			http.NotFound(w, r)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
--- a/internal/mgmt/mgmt_test.go
+++ b/internal/mgmt/mgmt_test.go
@@ -96,10 +96,12 @@
 		{"GET", "/-/drain", 405},
 		{"DELETE", "/-/web-servers/s-1/disable", 405},
 		{"POST", "/-/web-servers/s-1", 404},
+		{"POST", "/-/drain/", 404},
+		{"POST", "//-/drain", 404},
 		{"GET", "/ready", 404},
 		{"GET", "/", 404},
 	} {
-		if got := call(t, addr, c.method, c.path); got != c.want && !(got == 307 || got == 301) {
+		if got := call(t, addr, c.method, c.path); got != c.want {
 			t.Errorf("%s %s: %d, want %d", c.method, c.path, got, c.want)
 		}
 	}
--- a/internal/node/pair_test.go
+++ b/internal/node/pair_test.go
@@ -75,7 +75,9 @@
 		t.Error("an order did not reach the other process")
 	}
 	// The old process has stopped accepting. It closes what is idle and ends once all it took is answered.
-	if _, err := net.Dial("tcp", old.addr); err == nil {
+	select {
+	case <-old.pair.stopped:
+	default:
 		t.Error("the old process still accepts")
 	}
 	if _, err := idle.in.ReadByte(); err != io.EOF {
