--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,12 +10,15 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"time"
 
+	backtunnel "portstall/internal/back/tunnel"
 	"portstall/internal/contract"
 	"portstall/internal/front/tunnel"
+	"portstall/internal/message"
 )
 
 // File is the product's own file.
@@ -32,6 +35,16 @@
 	Connect string  `yaml:"connect"` // the same for HTTP CONNECT
 	Users   []User  `yaml:"users"`   // none: nobody is asked for a password
 	Routes  []Route `yaml:"routes"`
+	Proxies []Proxy `yaml:"proxies"` // the first that fits a web server stands before it
+}
+
+// Proxy stands before some web servers, and is the only way to them: for opaque tunnels and for requests.
+type Proxy struct {
+	Servers  string `yaml:"servers"` // ids, with * and ? as in a file's name
+	SOCKS5   string `yaml:"socks5"`  // host:port; this or connect
+	Connect  string `yaml:"connect"`
+	User     string `yaml:"user"` // empty: none is shown
+	Password string `yaml:"password"`
 }
 
 // User may open tunnels. A contract is for it by a match on the header Proxy-User.
@@ -45,6 +58,81 @@
 	Host    string `yaml:"host"`
 	Port    uint16 `yaml:"port"`
 	Service string `yaml:"service"`
+
+	Kind  string        `yaml:"kind"`  // http (the default): requests of our own protocol; opaque: whatever the two sides speak
+	Class string        `yaml:"class"` // of an opaque tunnel
+	Idle  time.Duration `yaml:"idle"`  // an opaque one ends after this without a byte; 1 min
+	Total time.Duration `yaml:"total"` // and at most this after its opening; 1 h
+	Stall time.Duration `yaml:"stall"` // or when the server says nothing to the client's latest for this long; 0: it may
+	Drain time.Duration `yaml:"drain"` // or this long after its server or the node is told to drain; 30 s
+}
+
+// tunnel is a route ready for use, with what was not given filled in.
+func (r *Route) tunnel(path string) (tunnel.Route, error) {
+	out := tunnel.Route{Host: r.Host, Port: r.Port, Service: r.Service}
+	limits := []struct {
+		name  string
+		value time.Duration
+	}{{"idle", r.Idle}, {"total", r.Total}, {"stall", r.Stall}, {"drain", r.Drain}}
+	for _, l := range limits {
+		most := 24 * time.Hour
+		if l.name == "drain" {
+			most = time.Minute // a process that is told to end waits no longer for anything
+		}
+		if l.value < 0 || l.value > most {
+			return out, &FieldError{path + l.name, fmt.Sprintf("%s is outside 0 to %s", l.value, most)}
+		}
+		if l.value > 0 && r.Kind != "opaque" {
+			return out, &FieldError{path + l.name, "is for opaque routes only"}
+		}
+	}
+	switch r.Kind {
+	case "", "http":
+		if r.Class != "" {
+			return out, &FieldError{path + "class", "is for opaque routes only: each request names its own"}
+		}
+		return out, nil
+	case "opaque":
+	default:
+		return out, &FieldError{path + "kind", fmt.Sprintf("%q is neither http nor opaque", r.Kind)}
+	}
+	if r.Class == "" {
+		return out, &FieldError{path + "class", "missing: an opaque tunnel is a request of some class"}
+	}
+	out.Opaque, out.Class = true, r.Class
+	out.Limits = message.Limits{Idle: r.Idle, Total: r.Total, Stall: r.Stall, Drain: r.Drain}
+	for _, d := range []struct {
+		value *time.Duration
+		usual time.Duration
+	}{{&out.Limits.Idle, time.Minute}, {&out.Limits.Total, time.Hour}, {&out.Limits.Drain, 30 * time.Second}} {
+		if *d.value == 0 {
+			*d.value = d.usual
+		}
+	}
+	return out, nil
+}
+
+// Way makes a proxy ready for use. The pattern is one for filepath.Match. An error is a *FieldError.
+func (t *Tunnels) Way(i int) (pattern string, way backtunnel.Proxy, err error) {
+	p, path := t.Proxies[i], fmt.Sprintf("tunnels.proxies[%d].", i)
+	way = backtunnel.Proxy{Kind: backtunnel.SOCKS5, Addr: p.SOCKS5, User: p.User, Password: p.Password}
+	field := "socks5"
+	if p.Connect != "" {
+		way.Kind, way.Addr, field = backtunnel.Connect, p.Connect, "connect"
+	}
+	_, _, bad := net.SplitHostPort(way.Addr)
+	switch {
+	case (p.SOCKS5 == "") == (p.Connect == ""):
+		return "", way, &FieldError{path + "socks5", "one of socks5 and connect is needed"}
+	case bad != nil:
+		return "", way, &FieldError{path + field, fmt.Sprintf("%q is not host:port", way.Addr)}
+	case len(p.User) > 255 || len(p.Password) > 255 || strings.Contains(p.User, ":"):
+		return "", way, &FieldError{path + "user", "user or password is longer than 255 bytes, or the user has a colon"}
+	}
+	if _, err := filepath.Match(p.Servers, ""); err != nil || p.Servers == "" {
+		return "", way, &FieldError{path + "servers", fmt.Sprintf("%q is no pattern", p.Servers)}
+	}
+	return p.Servers, way, nil
 }
 
 // Table makes the routes and users ready. An error is a *FieldError.
@@ -70,8 +158,17 @@
 		users[u.Name] = [sha256.Size]byte(d)
 	}
 	var routes []tunnel.Route
-	for _, r := range t.Routes {
-		routes = append(routes, tunnel.Route{Host: r.Host, Port: r.Port, Service: r.Service})
+	for i := range t.Routes {
+		r, err := t.Routes[i].tunnel(fmt.Sprintf("tunnels.routes[%d].", i))
+		if err != nil {
+			return nil, err
+		}
+		routes = append(routes, r)
+	}
+	for i := range t.Proxies {
+		if _, _, err := t.Way(i); err != nil {
+			return nil, err
+		}
 	}
 	table, err := tunnel.NewTable(routes, users)
 	if err != nil {
@@ -102,6 +199,7 @@
 	Rate        float64   `yaml:"rate"`     // requests a second
 	Burst       float64   `yaml:"burst"`    // and how many at once; a second's rate where it is not given
 	InFlight    int       `yaml:"in_flight"`
+	Bandwidth   float64   `yaml:"bandwidth"` // bytes a second through opaque tunnels, both ways together
 	Attempts    *Attempts `yaml:"attempts"`
 	Retries     []string  `yaml:"retries"` // classes that may be sent more than once; not given: as each class allows
 	Work        Work      `yaml:"work"`
@@ -223,7 +321,7 @@
 		return contract.Terms{}, &FieldError{path + field, fmt.Sprintf(why, args...)}
 	}
 	t := contract.Terms{Name: c.Name, Rate: c.Rate, Burst: c.Burst, InFlight: c.InFlight, Guaranteed: c.Work.Guaranteed,
-		Limit: c.Work.Limit, Weight: 1, Lends: 1, Criticality: contract.Normal}
+		Limit: c.Work.Limit, Bandwidth: c.Bandwidth, Weight: 1, Lends: 1, Criticality: contract.Normal}
 	if t.Rate > 0 && t.Burst == 0 {
 		t.Burst = max(1, t.Rate)
 	}
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -63,6 +63,7 @@
 	Retries     map[string]bool // classes that may be sent more than once; nil: as each class allows
 	Guaranteed  float64         // server-seconds a second that are kept for it under pressure
 	Limit       float64         // server-seconds a second that it never exceeds
+	Bandwidth   float64         // bytes a second through its opaque tunnels, both ways together; 0: no bound
 	Criticality Criticality
 	Weight      float64 // of its part in what others leave unused
 	Lends       float64 // part of what it leaves unused that others may have
@@ -76,6 +77,7 @@
 		most  float64
 	}{{"rate", t.Rate, 1e9}, {"burst", t.Burst, 1e9}, {"in_flight", float64(t.InFlight), 1e9}, {"attempts.ratio", t.Ratio, 100},
 		{"attempts.floor", t.Floor, 1e9}, {"work.guaranteed", t.Guaranteed, 1e9}, {"work.limit", t.Limit, 1e9},
+		{"bandwidth", t.Bandwidth, 1e15},
 		{"weight", t.Weight, 1e6}, {"lends", t.Lends, 1}} {
 		if !(v.value >= 0 && v.value <= v.most) {
 			return v.field, fmt.Sprintf("%v is outside 0 to %v", v.value, v.most)
--- a/internal/contract/ledger.go
+++ b/internal/contract/ledger.go
@@ -23,6 +23,19 @@
 // Rules lists those that refuse.
 var Rules = []Rule{None, Service, Rate, InFlight, Attempts, Work, Fleet}
 
+// Why says in a sentence what a rule refuses for; empty for Kept.
+func (r Rule) Why() string { return why[r] }
+
+var why = map[Rule]string{
+	None:     "no contract is for this caller",
+	Service:  "the caller's contract does not name this class",
+	Rate:     "the contract's rate is used up",
+	InFlight: "the contract has as many requests in flight as it may",
+	Attempts: "the contract's budget of repeats and further attempts is used up",
+	Work:     "the contract's budget of work is used up",
+	Fleet:    "the fleet is under pressure and the contract's guarantee is used up",
+}
+
 // Verdict is what a request is told.
 type Verdict struct {
 	Rule       Rule // Kept: it is let in
@@ -65,6 +78,7 @@
 	firsts   float64 // decayed counts of first tries,
 	furthers float64 // and of repeats and further attempts
 	work     float64 // left of the limit; negative: debt
+	bytes    float64 // left of the bandwidth; negative: to be waited for
 	kept     float64 // left of the guarantee
 	lent     float64 // left of what it may borrow
 	share    float64 // server-seconds a second that it may borrow now
@@ -158,13 +172,14 @@
 	c, s := &l.table.terms[i], l.states[i]
 	if s == nil {
 		s = &state{at: now, tokens: l.burst(c) * l.fill, work: c.Limit * l.part * l.fill,
-			kept: c.Guaranteed * l.part * saved.Seconds() * l.fill, scale: 1}
+			bytes: c.Bandwidth * l.part * l.fill, kept: c.Guaranteed * l.part * saved.Seconds() * l.fill, scale: 1}
 		l.states[i] = s
 	}
 	if dt := (now - s.at).Seconds(); dt > 0 {
 		s.at = now
 		s.tokens = min(l.burst(c), s.tokens+c.Rate*l.part*dt)
 		s.work = min(c.Limit*l.part, s.work+c.Limit*l.part*dt)
+		s.bytes = min(c.Bandwidth*l.part, s.bytes+c.Bandwidth*l.part*dt)
 		g := c.Guaranteed * l.part * s.scale
 		if s.kept < 0 { // debt is paid back in time, whatever the fleet can keep
 			g = max(g, c.Guaranteed*l.part*debtPart)
@@ -310,14 +325,35 @@
 	return true
 }
 
-// Done ends a request that was let in, and corrects its charge by the server-seconds that its attempts really took. Name
-// is that of the contract that it was let in by: one that has gone since is of no more interest.
-func (l *Ledger) Done(now time.Duration, name string, v Verdict, took float64) {
+// index finds the contract that a request was let in by; -1: it has gone.
+func (l *Ledger) index(name string, v Verdict) int {
 	i := v.Contract
 	if i < 0 || i >= len(l.states) || l.table.terms[i].Name != name {
 		i = slices.IndexFunc(l.table.terms, func(c Terms) bool { return c.Name == name })
 	}
 	if i < 0 || l.states[i] == nil {
+		return -1
+	}
+	return i
+}
+
+// Pace charges bytes of a tunnel to the contract that it was let in by, and tells how long it is to wait before it passes any
+// more. A contract that has gone bounds nothing.
+func (l *Ledger) Pace(now time.Duration, name string, v Verdict, bytes int) time.Duration {
+	i := l.index(name, v)
+	if i < 0 || l.table.terms[i].Bandwidth <= 0 {
+		return 0
+	}
+	c, s := l.state(i, l.clock(now))
+	s.bytes -= float64(bytes)
+	return wait(-s.bytes / (c.Bandwidth * l.part))
+}
+
+// Done ends a request that was let in, and corrects its charge by the server-seconds that its attempts really took. Name
+// is that of the contract that it was let in by: one that has gone since is of no more interest.
+func (l *Ledger) Done(now time.Duration, name string, v Verdict, took float64) {
+	i := l.index(name, v)
+	if i < 0 {
 		return
 	}
 	c, s := l.state(i, l.clock(now))
--- /dev/null
+++ b/internal/core/contracts.go
@@ -0,0 +1,127 @@
+package core
+
+import (
+	"errors"
+	"time"
+
+	"portstall/internal/contract"
+)
+
+// grant is what a contract has let a request in by.
+type grant struct {
+	name    string // of the contract; empty where there are no contracts
+	verdict contract.Verdict
+	took    time.Duration // at servers, all attempts together
+}
+
+// ErrNoContracts says that none are in force.
+var ErrNoContracts = errors.New("no contracts are in force")
+
+// Bind puts contracts in force; nil: none. What is left of those that stay, stays. The lock is held.
+func (c *Core) Bind(t *contract.Table) {
+	switch {
+	case t == nil:
+		c.ledger = nil
+	case c.ledger == nil:
+		c.ledger = contract.NewLedger(t, c.Now(), c.even)
+	default:
+		c.ledger.Swap(t)
+	}
+}
+
+// Succeed says that this node takes over from another process: no contract has a second burst by that. The lock is held.
+func (c *Core) Succeed() {
+	if c.ledger != nil {
+		c.ledger.Succeed()
+	}
+}
+
+// admit asks the contracts, and gives a request that they turn away its final answer.
+func (c *Core) admit(now time.Duration, r *Request) bool {
+	if c.ledger == nil {
+		return true
+	}
+	c.ledger.Look(now, c.bal.Pressure())
+	if part, known := c.bal.Part(); known {
+		c.ledger.Share(now, part)
+	}
+	t := c.ledger.Table()
+	v := c.ledger.Admit(now, t.Find(&r.Caller), r.Class, r.Hint, r.Repeat)
+	if v.Contract >= 0 {
+		r.grant.name = t.Terms(v.Contract).Name
+	}
+	r.grant.verdict = v
+	if v.Rule == contract.Kept {
+		return true
+	}
+	r.answered = true
+	r.done <- Answer{Kind: Barred, RetryAfter: v.RetryAfter, Rule: v.Rule, Contract: r.grant.name}
+	return false
+}
+
+// settleGrant tells the contracts that a request is over.
+func (c *Core) settleGrant(r *Request) {
+	if c.ledger != nil && r.grant.name != "" {
+		c.ledger.Done(c.Now(), r.grant.name, r.grant.verdict, r.grant.took.Seconds())
+	}
+	r.grant.name = ""
+}
+
+// maySendAgain tells whether the contracts let a request be sent once more.
+func (c *Core) maySendAgain(now time.Duration, r *Request) bool {
+	if c.ledger == nil || r.grant.name == "" {
+		return true
+	}
+	i := r.grant.verdict.Contract
+	if t := c.ledger.Table(); i >= t.Len() || t.Terms(i).Name != r.grant.name {
+		return true // its contract has gone: requests under way keep what they came with, and it bounds nothing now
+	}
+	return c.ledger.Further(now, i, r.Class)
+}
+
+// Pace charges bytes of a request's body or tunnel to its contract, and tells how long to wait before any more are passed.
+func (c *Core) Pace(r *Request, bytes int) time.Duration {
+	c.Lock()
+	defer c.Unlock()
+	if c.ledger == nil || r.grant.name == "" {
+		return 0
+	}
+	return c.ledger.Pace(c.Now(), r.grant.name, r.grant.verdict, bytes)
+}
+
+// Explain tells what the contracts would say to a caller now, and charges nothing. The level is of its contract; where the
+// verdict's is -1 there is none. An error is ErrNoContracts.
+func (c *Core) Explain(who *contract.Caller, class string, repeat bool) (contract.Verdict, contract.Level, error) {
+	c.Lock()
+	defer c.Unlock()
+	if c.ledger == nil {
+		return contract.Verdict{}, contract.Level{}, ErrNoContracts
+	}
+	now, i := c.Now(), c.ledger.Table().Find(who)
+	if i < 0 {
+		return contract.Verdict{Rule: contract.None, Contract: i}, contract.Level{}, nil
+	}
+	return c.ledger.Try(now, i, class, repeat), c.ledger.Level(now, i), nil
+}
+
+// Stats is what a core can tell of itself.
+type Stats struct {
+	Pressure       float64 // part of the latest requests that met no normal server
+	Open           int     // requests taken and not over
+	Contracts      bool    // some are in force:
+	Allowed, InUse float64 // server-seconds a second that all may use (infinite at ease), and do
+	Part           float64 // of the contracts that this node hands out
+	Levels         []contract.Level
+}
+
+// Stats tells how it stands, with the levels of at most so many contracts.
+func (c *Core) Stats(levels int) Stats {
+	c.Lock()
+	defer c.Unlock()
+	s := Stats{Pressure: c.bal.Pressure(), Open: len(c.requests), Contracts: c.ledger != nil}
+	if c.ledger != nil {
+		s.Allowed, s.InUse, s.Part = c.ledger.Allowed(), c.ledger.InUse(), c.ledger.Part()
+		s.Levels = c.ledger.Levels(c.Now(), levels)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,358 @@
+// Package core is the life of requests at one node: each is taken from a front, let in by the contracts, decided on by the
+// policy, carried out by a back as often as both allow, and given exactly one final answer. It owns the order of the node's
+// events. It knows no protocol and no socket, and its time is its Clock's.
+package core
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"portstall/internal/contract"
+	"portstall/policy"
+)
+
+// Clock tells the time and wakes. Real ones tell Unix time that runs on evenly when the system's clock is set.
+type Clock interface {
+	Now() time.Duration
+	AfterFunc(d time.Duration, f func())
+}
+
+// Body is what a request carries beyond its head.
+type Body interface {
+	// Spent tells whether a part of it is gone, so that no further attempt can have it.
+	Spent() bool
+}
+
+// Payload is what a served request's answer consists of. Whoever holds one releases it once.
+type Payload interface{ Release() }
+
+// Back carries out attempts.
+type Back interface {
+	// Attempt sends a request once and waits for what comes of it. It returns only after nothing more of the attempt can
+	// reach its server, so that one that follows is never a second copy. It runs in a goroutine of its own; ctx ends when the
+	// attempt is given up, with ErrCanceled as its cause, or the node ends.
+	Attempt(ctx context.Context, a *Attempt) Result
+}
+
+// Roster knows the web servers. Its methods are called with the core's lock held, and must not wait.
+type Roster interface {
+	// Server is what the back is to be told of a server by the policy's number; false: it is in no list any more.
+	Server(number uint32) (any, bool)
+	Watch() // ask for changes from now on
+	Fetch() // ask for the whole list once
+}
+
+// ErrCanceled is why an attempt's context ends when nobody waits for the attempt any more.
+var ErrCanceled = errors.New("the attempt was cancelled")
+
+// Request is one client request. Its fields are set by the front before Begin and not changed afterwards.
+type Request struct {
+	ID, Class, Tenant string
+	Repeat            bool            // a client's repeat of an earlier try, where it says so
+	Hint              float64         // expected cost in seconds; 0: none was told
+	Caller            contract.Caller // who asks
+	Arrived           time.Duration   // when its last byte was there, or its head where the body is still to come
+	Patience          time.Duration   // how long its client waits from then
+	Body              Body
+	Message           any // what the front has read and the back sends
+
+	until    time.Duration
+	attempts []*Attempt
+	open     int
+	answered bool
+	grant    grant
+	done     chan Answer // holds the one final answer; never blocks
+}
+
+// Answer is where the request's one final answer comes.
+func (r *Request) Answer() <-chan Answer { return r.done }
+
+// Attempt is one send of a request to a web server.
+type Attempt struct {
+	Request *Request
+	Index   int
+	Server  any           // as the Roster knew it
+	Wait    time.Duration // it is given up after that
+	number  uint32
+	sent    time.Duration
+	cancel  context.CancelCauseFunc
+}
+
+// Result is how an attempt ended.
+type Result struct {
+	Outcome policy.Outcome
+	Load    policy.Load
+	Payload Payload       // of one that is OK
+	First   time.Duration // when the first byte of an answer came, on the Clock; 0: none did
+}
+
+// Kind is what a final answer says.
+type Kind uint8
+
+const (
+	Served  Kind = iota
+	Refused      // nothing ran, or all that ran may be repeated: the client may try again
+	Failed       // no promise
+	Barred       // the contracts refuse it: nothing ran
+)
+
+// Answer is the final answer to a request.
+type Answer struct {
+	Kind       Kind
+	RetryAfter time.Duration // of Refused and Barred; 0: nothing is said
+	Payload    Payload       // of Served; whoever takes the answer releases it
+	Rule       contract.Rule // of Barred: what was passed,
+	Contract   string        // and in which contract; empty: there is none for the caller
+}
+
+// Core holds a node's requests. All its methods are safe for concurrent use; those that say so want the lock held.
+type Core struct {
+	sync.Mutex // whoever holds it hands in the next event; nothing under it waits for a socket
+
+	clock   Clock
+	back    Back
+	roster  Roster
+	log     *slog.Logger
+	transit time.Duration
+	ctx     context.Context // ends when the node does; attempts hang on it
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+
+	bal       *policy.Balancer
+	ledger    *contract.Ledger // nil where there are no contracts
+	even      float64          // part of them that this node hands out to begin with
+	actions   []policy.Action
+	requests  map[string]*Request // by the clients' ids
+	elsewhere map[string]time.Duration
+}
+
+// Options are what a core is made of.
+type Options struct {
+	Clock   Clock
+	Back    Back
+	Roster  Roster
+	Log     *slog.Logger
+	Transit time.Duration // the way to a client and back, which is off each request's patience
+}
+
+// New makes a core that decides by a policy started with the seed. It is to be closed.
+func New(set policy.Settings, seed uint64, o Options) (*Core, error) {
+	bal, err := policy.New(set, seed)
+	if err != nil {
+		return nil, err
+	}
+	c := &Core{clock: o.Clock, back: o.Back, roster: o.Roster, log: o.Log, transit: o.Transit, bal: bal,
+		even: 1 / float64(max(1, set.Nodes)), requests: map[string]*Request{}}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	return c, nil
+}
+
+// Context ends when the core is closed.
+func (c *Core) Context() context.Context { return c.ctx }
+
+// Now is the clock's time.
+func (c *Core) Now() time.Duration { return c.clock.Now() }
+
+// Go runs f in a goroutine that Close waits for. The lock is held, or the core is not shared yet.
+func (c *Core) Go(f func()) {
+	c.wg.Add(1)
+	go func() {
+		defer c.wg.Done()
+		f()
+	}()
+}
+
+// Close gives up what is under way and waits for it to end.
+func (c *Core) Close() {
+	// Under the lock, which each Go holds too: a timer may be about to start something. None does after this.
+	c.Lock()
+	c.cancel()
+	c.Unlock()
+	c.wg.Wait()
+}
+
+// Begin takes a request, unless one with its id is open. Its final answer comes on Answer.
+func (c *Core) Begin(r *Request) bool {
+	c.Lock()
+	defer c.Unlock()
+	now := c.Now()
+	if c.requests[r.ID] != nil || now < c.elsewhere[r.ID] {
+		return false
+	}
+	// The answer must be with the client when its time is up: the way there and back and the time that the
+	// request has spent here are off.
+	left := max(0, r.Patience-(now-r.Arrived)-c.transit)
+	r.until, r.done = now+left, make(chan Answer, 1)
+	if !c.admit(now, r) {
+		return true
+	}
+	c.requests[r.ID] = r
+	c.handle(now, &policy.Event{Kind: policy.EvRequest, ID: r.ID, Class: r.Class, Tenant: r.Tenant, Left: left,
+		Repeat: r.Repeat, Borrowed: r.grant.verdict.Borrowed})
+	return true
+}
+
+// Gone tells that a request's client has left. Its answer, if it has one, is released.
+func (c *Core) Gone(r *Request) {
+	c.Lock()
+	defer c.Unlock()
+	if r.answered {
+		release((<-r.done).Payload)
+		return
+	}
+	r.answered = true
+	c.handle(c.Now(), &policy.Event{Kind: policy.EvGone, ID: r.ID})
+	c.forget(r)
+}
+
+func release(p Payload) {
+	if p != nil {
+		p.Release()
+	}
+}
+
+// Uploaded notes that the last byte of a body that was not whole at the start has come: the request's time begins.
+func (c *Core) Uploaded(a *Attempt) {
+	c.Lock()
+	defer c.Unlock()
+	a.sent = c.Now()
+	a.Request.until = a.sent + a.Request.Patience - c.transit
+}
+
+// Established gives a request its final answer while its attempt goes on: what was asked for is the way to the server itself.
+// The attempt counts as work in flight until it ends. False: the request has its answer, and nobody takes the payload.
+func (c *Core) Established(a *Attempt, p Payload) bool {
+	c.Lock()
+	defer c.Unlock()
+	r := a.Request
+	if r.answered {
+		return false
+	}
+	r.answered = true
+	r.done <- Answer{Kind: Served, Payload: p}
+	return true
+}
+
+// ended hands in an attempt's outcome, and passes on the answer of one that was served.
+func (c *Core) ended(a *Attempt, res Result) {
+	c.Lock()
+	defer c.Unlock()
+	r := a.Request
+	r.open--
+	if res.Outcome == policy.OK && !r.answered {
+		r.answered = true
+		r.done <- Answer{Kind: Served, Payload: res.Payload}
+	} else {
+		release(res.Payload) // nobody waits for it
+	}
+	now := c.Now()
+	took := now - a.sent
+	if res.First > 0 { // what follows tells of the network and of the body's size
+		took = max(0, res.First-a.sent)
+	}
+	r.grant.took += now - a.sent
+	spent := r.Body.Spent() || !r.answered && !c.maySendAgain(now, r)
+	c.handle(now, &policy.Event{Kind: policy.EvOutcome, ID: r.ID, Server: a.number, Attempt: a.Index,
+		Took: took, Last: r.answered, Spent: spent, Outcome: res.Outcome, Load: res.Load})
+	c.forget(r)
+}
+
+// finish gives a request its final answer, unless it has one.
+func (c *Core) finish(id string, a Answer) {
+	if r := c.requests[id]; r != nil && !r.answered {
+		r.answered = true
+		r.done <- a
+		c.forget(r)
+	}
+}
+
+// forget drops a request that nothing more can come of.
+func (c *Core) forget(r *Request) {
+	if r.answered && r.open == 0 {
+		delete(c.requests, r.ID)
+		c.settleGrant(r)
+	}
+}
+
+// Handle hands one event to the policy and carries out what it wants. The lock is held.
+func (c *Core) Handle(ev *policy.Event) { c.handle(c.Now(), ev) }
+
+// handle carries out what the policy wants, in its order.
+func (c *Core) handle(now time.Duration, ev *policy.Event) {
+	c.actions = c.bal.Handle(now, ev, c.actions[:0])
+	for i := range c.actions {
+		a := &c.actions[i]
+		switch a.Kind {
+		case policy.ActSend:
+			c.send(now, a)
+		case policy.ActCancel:
+			if r := c.requests[a.ID]; r != nil && a.Attempt < len(r.attempts) {
+				r.attempts[a.Attempt].cancel(ErrCanceled)
+			}
+		case policy.ActRefuse:
+			c.finish(a.ID, Answer{Kind: Refused, RetryAfter: a.Wait})
+		case policy.ActFail:
+			c.finish(a.ID, Answer{Kind: Failed})
+		case policy.ActTimer:
+			token := a.Token
+			c.clock.AfterFunc(a.At-now, func() { c.due(token) })
+		case policy.ActWatch:
+			c.roster.Watch()
+		case policy.ActFetch:
+			c.roster.Fetch()
+		case policy.ActLog:
+			c.log.Info(a.Text)
+		}
+	}
+}
+
+// due hands in a timer.
+func (c *Core) due(token string) {
+	c.Lock()
+	defer c.Unlock()
+	if c.ctx.Err() == nil {
+		c.Handle(&policy.Event{Kind: policy.EvTimer, Token: token})
+	}
+}
+
+// send starts an attempt. Its outcome is handed in later, whatever comes of it.
+func (c *Core) send(now time.Duration, act *policy.Action) {
+	r := c.requests[act.ID]
+	if r == nil {
+		return
+	}
+	a := &Attempt{Request: r, Index: len(r.attempts), number: act.Server, sent: now, Wait: r.until - now}
+	if act.Wait > 0 {
+		a.Wait = min(a.Wait, act.Wait)
+	}
+	var known bool
+	a.Server, known = c.roster.Server(act.Server)
+	ctx, cancel := context.WithCancelCause(c.ctx)
+	a.cancel = cancel
+	r.attempts = append(r.attempts, a)
+	r.open++
+	c.Go(func() {
+		defer cancel(nil)
+		res := Result{Outcome: policy.Moot}
+		if known { // else it is never sent
+			res = c.back.Attempt(ctx, a)
+		}
+		c.ended(a, res)
+	})
+}
+
+// Elsewhere names requests that another process of this node has open, by id, and until when: none of them begins here.
+// The lock is held.
+func (c *Core) Elsewhere(open map[string]time.Duration) { c.elsewhere = open }
+
+// Open names the requests that are open here, and until when. The lock is held.
+func (c *Core) Open() map[string]time.Duration {
+	open := make(map[string]time.Duration, len(c.requests))
+	for id, r := range c.requests {
+		open[id] = r.until
+	}
+	return open
+}
--- /dev/null
+++ b/internal/flow/socket.go
@@ -0,0 +1,54 @@
+package flow
+
+import (
+	"net"
+	"syscall"
+	"time"
+)
+
+// WriteStall is how long a write may wait for the other side to read, before the connection is given up.
+const WriteStall = 10 * time.Second
+
+// Paced bounds the time that each write to a connection may wait for the other side to read.
+type Paced struct {
+	net.Conn
+	Stall time.Duration
+}
+
+func (w Paced) Write(p []byte) (int, error) {
+	w.SetWriteDeadline(time.Now().Add(w.Stall))
+	return w.Conn.Write(p)
+}
+
+// Waiting is what can be read from a socket at this moment.
+type Waiting uint8
+
+const (
+	Nothing Waiting = iota
+	BytesThere
+	Ended // the other side has closed the connection, or it broke
+)
+
+// Pending looks at what a socket has received, without taking any of it and without waiting.
+func Pending(c net.Conn) Waiting {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return Ended
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return Ended
+	}
+	w := Ended
+	raw.Control(func(fd uintptr) { // an error means that it is closed here
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case n > 0:
+			w = BytesThere
+		case err == syscall.EAGAIN:
+			w = Nothing
+		}
+	})
+	return w
+}
--- a/internal/node/clients.go
+++ b/internal/front/http/clients.go
@@ -1,4 +1,6 @@
-package node
+// Package http is the front for clients that speak HTTP/1.1, whatever carries their connections: it reads requests, hands
+// them to the core and writes the final answers.
+package http
 
 import (
 	"bufio"
@@ -8,7 +10,7 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
+	stdhttp "net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -16,51 +18,62 @@
 	"syscall"
 	"time"
 
+	"portstall/internal/core"
 	"portstall/internal/flow"
+	"portstall/internal/message"
 )
 
 const (
-	maxHead = 16 << 10
-	maxID   = 256
+	// HeadSize bounds the head of a request, in bytes.
+	HeadSize = 16 << 10
+	maxID    = 256
 	// A client is owed an error or a close within 3 s of connecting, whatever it sends or doesn't.
-	headTime  = 2500 * time.Millisecond // for a first request's head from the connection's start, for others from its first byte
-	bodyStall = 2 * time.Second         // for further bytes of a body
+	HeadTime  = 2500 * time.Millisecond // for a first request's head from the connection's start, for others from its first byte
+	BodyStall = 2 * time.Second         // for further bytes of a body
 	bodyTime  = 3 * time.Second         // for the whole of a body, beyond what it takes
 	slowest   = 32 << 10                // at so many bytes a second
 	roomTime  = time.Second             // for a request to get its part of the bytes that bodies may hold
 	readTime  = 50 * time.Millisecond   // within this of a request's first byte most are there
-	// silentTime is how long a new connection may say nothing before it makes room first: a request comes on its heels.
-	silentTime = 200 * time.Millisecond
-	// idleTime is how long a connection is kept that carries no request. Some clients keep theirs for good.
-	idleTime = 5 * time.Second
-	// streamTime is how long large bodies may go on when the node leaves and the last deadline has passed.
-	streamTime = time.Minute
+	// SilentTime is how long a new connection may say nothing before it makes room first: a request comes on its heels.
+	SilentTime = 200 * time.Millisecond
+	// IdleTime is how long a connection is kept that carries no request. Some clients keep theirs for good.
+	IdleTime   = 5 * time.Second
 	lateTime   = 30 * time.Second       // for the rest of a request that has its answer already
 	lingerTime = 100 * time.Millisecond // for a rejected client to read why before its connection is reset
 	lingerSize = 256 << 10              // and how much of what it goes on sending is read meanwhile
 )
 
-// clients are the connections of this node's clients. Past the limit one that carries no request makes room;
+// Options are what a front is made of. Its functions are called from many goroutines.
+type Options struct {
+	Core   *core.Core
+	Budget *flow.Budget
+	Limit  int                          // connections
+	Away   func() bool                  // whether clients are sent away
+	Ready  func() int                   // the status for GET /ready
+	Fits   func(*stdhttp.Request) error // whether a request is worded as its class wants it
+}
+
+// Front is the connections of this node's clients. Past the limit one that carries no request makes room;
 // where there is none the new one's request is refused, and far past it new ones wait in the backlog.
-type clients struct {
-	node  *node
-	limit int
+// It is safe for concurrent use.
+type Front struct {
+	Options
 	slots chan struct{}
 	wg    sync.WaitGroup // connections
 
 	mu    sync.Mutex
-	conns map[*clientConn]struct{}
+	conns map[*conn]struct{}
 }
 
-// clientConn is one of them.
-type clientConn struct {
+// conn is one of them.
+type conn struct {
 	net.Conn
 	start time.Time
 	in    *bufio.Reader
 	over  bool   // there were too many already when it came
 	user  string // whom a tunnel was opened for; empty: none, or none was asked for
 
-	// Guarded by clients.mu.
+	// Guarded by Front.mu.
 	begun     time.Time // when the first byte of its latest request was seen
 	reading   bool      // the first byte of a request is there, the last is not
 	busy      bool      // a request is being answered
@@ -70,79 +83,23 @@
 	closing   bool      // it made room for another, or the node leaves
 }
 
-func newClients(n *node) *clients {
-	limit := n.cfg.clientLimit()
-	return &clients{node: n, limit: limit, slots: make(chan struct{}, limit+limit/8), conns: map[*clientConn]struct{}{}}
+// New returns a front without connections.
+func New(o Options) *Front {
+	return &Front{Options: o, slots: make(chan struct{}, o.Limit+o.Limit/8), conns: map[*conn]struct{}{}}
 }
 
-// resize sets how many connections there may be. Where there are more, each new one makes room for itself.
-func (s *clients) resize(limit int) {
+// Resize sets how many connections there may be. Where there are more, each new one makes room for itself.
+func (s *Front) Resize(limit int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.limit = limit
-}
-
-// serve answers clients on ln until ctx ends and then until all that was taken is answered.
-func (n *node) serve(ctx context.Context, ln net.Listener) error {
-	s := n.clients
-	failed := make(chan error, 1)
-	go func() { failed <- s.accept(ln) }()
-	n.takeOver()
-	defer n.pair.close()
-	var err error
-	select {
-	case err := <-failed:
-		return fmt.Errorf("serve: %w", err)
-	case <-n.pair.succeeded: // by a process that accepts on the same socket
-		err = n.stopAccepting(ln, failed)
-		n.life.enter(leaving)
-		n.log.Info("a successor serves: finishing what was taken")
-		time.Sleep(acceptFor)
-	case <-ctx.Done():
-		n.life.enter(leaving)
-		n.log.Info("leaving: finishing what was taken")
-		// Connections go on coming for a while, and clients use those that they have: each answer now tells them
-		// to close, and only then is the listener closed.
-		time.Sleep(acceptFor)
-		err = n.stopAccepting(ln, failed)
-	}
-	s.closeIdle() // the clients of those on which no request has come turn to other nodes
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		s.wg.Wait()
-	}()
-	select {
-	case <-done:
-		return err
-	case <-time.After(n.set.Load().longest() + transit):
-		s.cut(false) // the last deadline has passed
-	}
-	select {
-	case <-done:
-	case <-time.After(streamTime):
-		s.cut(true)
-		<-done
-	}
-	return err
-}
-
-// stopAccepting closes the listener and waits until accept has returned: what it has taken from the socket by then is
-// served.
-func (n *node) stopAccepting(ln net.Listener, failed <-chan error) error {
-	defer close(n.pair.stopped)
-	err := ln.Close()
-	if e := <-failed; !errors.Is(e, net.ErrClosed) {
-		err = errors.Join(err, e)
-	}
-	return err
+	s.Limit = limit
 }
 
-// accept takes in connections until ln is closed.
-func (s *clients) accept(ln net.Listener) error {
+// Accept takes in connections until ln is closed.
+func (s *Front) Accept(ln net.Listener) error {
 	for {
 		s.slots <- struct{}{}
-		conn, err := ln.Accept()
+		socket, err := ln.Accept()
 		if err != nil {
 			<-s.slots
 			if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED) {
@@ -151,19 +108,36 @@
 			}
 			return err
 		}
-		s.wg.Add(1)
-		go func() {
-			defer s.wg.Done()
-			s.welcome(&clientConn{Conn: conn, start: time.Now(), in: bufio.NewReaderSize(conn, maxHead)})
-		}()
+		s.Go(func() { s.Serve(socket, bufio.NewReaderSize(socket, HeadSize), "") })
 	}
 }
 
-// welcome answers the requests of one connection, for which the caller holds a slot, until it is closed.
-func (s *clients) welcome(c *clientConn) {
+// Go runs f in a goroutine that Wait waits for.
+func (s *Front) Go(f func()) { s.wg.Go(f) }
+
+// Wait returns once no connection is left and all that Go runs has ended.
+func (s *Front) Wait() { s.wg.Wait() }
+
+// Take takes a slot for one more connection, if one is free; Serve gives it back, or Leave.
+func (s *Front) Take() bool {
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+// Leave gives back a slot that Take took.
+func (s *Front) Leave() { <-s.slots }
+
+// Serve answers the requests of one connection, for which the caller holds a slot, until it is closed. What in has read
+// ahead counts; it has a buffer of HeadSize. User is whom a tunnel was opened for, empty for none.
+func (s *Front) Serve(socket net.Conn, in *bufio.Reader, user string) {
+	c := &conn{Conn: socket, start: time.Now(), in: in, user: user}
 	c.since = c.start
 	s.mu.Lock()
-	if len(s.conns) >= s.limit {
+	if len(s.conns) >= s.Limit {
 		c.over = !s.makeRoom()
 	}
 	s.conns[c] = struct{}{}
@@ -179,20 +153,20 @@
 // makeRoom closes a connection that carries no request, and of those that are alike the one that has stood for
 // longest: first one that has said nothing for a while, then one that a client keeps, then a new one. A request that
 // waits to be read, or is being read, spares a new one. s.mu is held.
-func (s *clients) makeRoom() bool {
-	var spare *clientConn
+func (s *Front) makeRoom() bool {
+	var spare *conn
 	best := 3
 	for c := range s.conns {
 		rank := 1
 		if !c.used {
-			if rank = 0; time.Since(c.start) < silentTime {
+			if rank = 0; time.Since(c.start) < SilentTime {
 				rank = 2
 			}
 		}
 		if c.busy || rank > best || rank == best && !c.since.Before(spare.since) {
 			continue
 		}
-		if c.used && !c.reading || time.Since(c.begun) > readTime && pending(c.Conn) == nothing {
+		if c.used && !c.reading || time.Since(c.begun) > readTime && flow.Pending(c.Conn) == flow.Nothing {
 			spare, best = c, rank
 		}
 	}
@@ -204,7 +178,7 @@
 
 // drop takes a connection off those that count and ends its reading, so that it closes. A request that has just been
 // read is still answered. s.mu is held.
-func (s *clients) drop(c *clientConn) {
+func (s *Front) drop(c *conn) {
 	if !c.closing {
 		c.closing = true
 		delete(s.conns, c)
@@ -213,7 +187,7 @@
 }
 
 // deadline bounds the next reads from a connection, unless it is closing.
-func (s *clients) deadline(c *clientConn, t time.Time) {
+func (s *Front) deadline(c *conn, t time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !c.closing {
@@ -221,8 +195,8 @@
 	}
 }
 
-// cut breaks connections off: those that carry no large body, or all.
-func (s *clients) cut(all bool) {
+// Cut breaks connections off: those that carry no large body, or all.
+func (s *Front) Cut(all bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
@@ -232,23 +206,30 @@
 	}
 }
 
-// closeIdle closes the connections that carry no request.
-func (s *clients) closeIdle() {
+// CloseIdle closes the connections that carry no request.
+func (s *Front) CloseIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if !c.busy && !c.reading && pending(c.Conn) == nothing {
+		if !c.busy && !c.reading && flow.Pending(c.Conn) == flow.Nothing {
 			s.drop(c) // with a request on its way it closes behind that one's answer
 		}
 	}
 }
 
 // mark notes that a request has come or was answered, and tells whether the connection is to stay.
-func (s *clients) mark(c *clientConn, busy bool) bool {
+func (s *Front) mark(c *conn, busy bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.busy, c.used, c.reading, c.streaming, c.since = busy, true, false, false, time.Now()
-	return !c.closing && (busy || !s.node.life.sendsAway())
+	return !c.closing && (busy || !s.Away())
+}
+
+// request is one that was read. It is for the core but where it asks for GET /ready.
+type request struct {
+	*core.Request
+	in   *stdhttp.Request
+	body *flow.Upload
 }
 
 // rejection is the answer to a request that is not handed to the policy. Its connection is closed: what follows on
@@ -259,7 +240,7 @@
 }
 
 // talk answers one request after the other.
-func (s *clients) talk(c *clientConn) {
+func (s *Front) talk(c *conn) {
 	for {
 		r, no := s.read(c)
 		if no != nil {
@@ -269,7 +250,7 @@
 		if r == nil {
 			return
 		}
-		if !s.mark(c, true) && !s.node.life.sendsAway() {
+		if !s.mark(c, true) && !s.Away() {
 			c.over = true
 		}
 		if !s.exchange(c, r) || !s.mark(c, false) {
@@ -279,18 +260,18 @@
 }
 
 // exchange gives a request its answer and tells whether the connection stays.
-func (s *clients) exchange(c *clientConn, r *request) bool {
-	defer s.node.budget.RequestDone(r.upload.Held())
+func (s *Front) exchange(c *conn, r *request) bool {
+	defer s.Budget.RequestDone(r.body.Held())
 	stays := true
-	if !r.upload.Whole() {
+	if !r.body.Whole() {
 		s.stream(c)
 		pumped := make(chan struct{})
 		go func() {
 			defer close(pumped)
-			r.upload.Pump(s.paced(c, r.in.Body))
+			r.body.Pump(s.paced(c, r.in.Body))
 		}()
 		defer func() {
-			r.upload.Drop()
+			r.body.Drop()
 			if !stays { // the client may still be sending: it is to read its answer first
 				s.linger(c, pumped)
 			}
@@ -305,21 +286,21 @@
 	}
 	early := false // the answer came before the request's end: what follows can't be told from its rest
 	select {
-	case <-r.upload.Ended():
+	case <-r.body.Ended():
 	default:
 		early = true
 	}
-	if a.stream != nil {
+	if a.Stream != nil {
 		s.stream(c)
 	}
-	last := r.in.Close || c.over || early || s.node.life.sendsAway()
+	last := r.in.Close || c.over || early || s.Away()
 	stays = c.write(r.in, a, last) == nil && !last
-	s.node.release(a)
+	a.release()
 	return stays
 }
 
 // stream notes that a large body is on its way.
-func (s *clients) stream(c *clientConn) {
+func (s *Front) stream(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.streaming = true
@@ -327,7 +308,7 @@
 
 // linger lets a client finish its request before the connection is closed: closing resets one on which something is
 // unread, and with it the answer that the client has not read.
-func (s *clients) linger(c *clientConn, pumped <-chan struct{}) {
+func (s *Front) linger(c *conn, pumped <-chan struct{}) {
 	select {
 	case <-pumped:
 	case <-time.After(lateTime):
@@ -337,10 +318,10 @@
 
 // read reads the next request, with its body where that is small. Both results are nil where there is none, or nobody
 // to tell what is wrong with it.
-func (s *clients) read(c *clientConn) (*request, *rejection) {
-	end := c.start.Add(headTime)
+func (s *Front) read(c *conn) (*request, *rejection) {
+	end := c.start.Add(HeadTime)
 	if c.used {
-		s.deadline(c, time.Now().Add(idleTime))
+		s.deadline(c, time.Now().Add(IdleTime))
 	} else {
 		s.deadline(c, end)
 	}
@@ -352,57 +333,59 @@
 	c.reading, c.begun = true, begun
 	s.mu.Unlock()
 	if c.used {
-		end = begun.Add(headTime)
+		end = begun.Add(HeadTime)
 		s.deadline(c, end)
 	}
 	head, err := c.head()
 	if err != nil && !time.Now().Before(end) {
-		return nil, &rejection{http.StatusRequestTimeout, "the head did not come in time"}
+		return nil, &rejection{stdhttp.StatusRequestTimeout, "the head did not come in time"}
 	}
 	if errors.Is(err, bufio.ErrBufferFull) {
-		return nil, &rejection{http.StatusRequestHeaderFieldsTooLarge, "the head is too large"}
+		return nil, &rejection{stdhttp.StatusRequestHeaderFieldsTooLarge, "the head is too large"}
 	}
 	if err != nil {
-		return nil, &rejection{http.StatusBadRequest, err.Error()}
+		return nil, &rejection{stdhttp.StatusBadRequest, err.Error()}
 	}
 	if twoFramings(head) {
 		// net/http drops a Content-Length beside Transfer-Encoding: a request hidden by the one or the other would go
 		// unseen.
-		return nil, &rejection{http.StatusBadRequest, "Content-Length beside Transfer-Encoding"}
+		return nil, &rejection{stdhttp.StatusBadRequest, "Content-Length beside Transfer-Encoding"}
 	}
-	in, err := http.ReadRequest(c.in)
+	in, err := stdhttp.ReadRequest(c.in)
 	if err != nil {
-		return nil, &rejection{http.StatusBadRequest, err.Error()}
+		return nil, &rejection{stdhttp.StatusBadRequest, err.Error()}
 	}
-	r := &request{in: in, from: address(c.Conn), user: c.user}
-	if no := s.node.check(r); no != nil {
+	r := &request{in: in}
+	if no := s.check(r, c); no != nil {
 		return nil, no
 	}
 	return r, s.body(c, r)
 }
 
 // body reads the body of a request, if that is small; what is large is passed on while it comes.
-func (s *clients) body(c *clientConn, r *request) *rejection {
+func (s *Front) body(c *conn, r *request) *rejection {
 	in := r.in
 	held := flow.Need(in.ContentLength)
-	ctx, cancel := context.WithTimeout(s.node.ctx, roomTime)
+	ctx, cancel := context.WithTimeout(s.Core.Context(), roomTime)
 	defer cancel()
-	if s.node.budget.Request(ctx, held) != nil {
-		return &rejection{http.StatusServiceUnavailable, "too many bodies are on their way"}
+	if s.Budget.Request(ctx, held) != nil {
+		return &rejection{stdhttp.StatusServiceUnavailable, "too many bodies are on their way"}
 	}
 	if in.ContentLength != 0 && in.Header.Get("Expect") != "" {
-		c.SetWriteDeadline(time.Now().Add(bodyStall))
+		c.SetWriteDeadline(time.Now().Add(BodyStall))
 		io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // an error shows when the body is read
 	}
 	up, err := flow.NewUpload(s.paced(c, in.Body), in.ContentLength)
 	if err != nil {
-		s.node.budget.RequestDone(held)
+		s.Budget.RequestDone(held)
 		return badBody(err)
 	}
 	if up.Held() < held {
-		s.node.budget.RequestDone(held - up.Held())
+		s.Budget.RequestDone(held - up.Held())
+	}
+	if r.body = up; r.Request != nil {
+		r.Body, r.Arrived = up, s.Core.Now()
 	}
-	r.upload, r.arrived = up, time.Now()
 	return nil
 }
 
@@ -410,21 +393,21 @@
 func badBody(err error) *rejection {
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return &rejection{http.StatusRequestTimeout, "the body did not come in time"}
-	case errors.Is(err, errTooLarge):
-		return &rejection{http.StatusRequestEntityTooLarge, fmt.Sprintf("body: over %d bytes", maxBody)}
+		return &rejection{stdhttp.StatusRequestTimeout, "the body did not come in time"}
+	case errors.Is(err, message.ErrTooLarge):
+		return &rejection{stdhttp.StatusRequestEntityTooLarge, fmt.Sprintf("body: over %d bytes", message.Max)}
 	}
-	return &rejection{http.StatusBadRequest, "body: " + err.Error()} // cut short: what came is not what was meant
+	return &rejection{stdhttp.StatusBadRequest, "body: " + err.Error()} // cut short: what came is not what was meant
 }
 
 // paced returns a reader of a request's body that gives up on a client which stands still, or is too slow.
-func (s *clients) paced(c *clientConn, body io.Reader) io.Reader {
+func (s *Front) paced(c *conn, body io.Reader) io.Reader {
 	return &pacedBody{clients: s, conn: c, body: body}
 }
 
 type pacedBody struct {
-	clients *clients
-	conn    *clientConn
+	clients *Front
+	conn    *conn
 	body    io.Reader
 	waited  time.Duration // for the client
 	read    int64
@@ -433,18 +416,18 @@
 func (b *pacedBody) Read(p []byte) (int, error) {
 	begun := time.Now()
 	left := bodyTime + time.Duration(b.read)*time.Second/slowest - b.waited
-	b.clients.deadline(b.conn, begun.Add(min(bodyStall, left)))
+	b.clients.deadline(b.conn, begun.Add(min(BodyStall, left)))
 	n, err := b.body.Read(p)
 	b.waited += time.Since(begun)
-	if b.read += int64(n); b.read > maxBody {
-		return n, errTooLarge
+	if b.read += int64(n); b.read > message.Max {
+		return n, message.ErrTooLarge
 	}
 	return n, err
 }
 
 // head waits until the head of the next request is in the buffer, and returns it as it was sent. Empty lines ahead of
 // it are skipped.
-func (c *clientConn) head() ([]byte, error) {
+func (c *conn) head() ([]byte, error) {
 	seen := 0
 	for {
 		text, _ := c.in.Peek(c.in.Buffered())
@@ -490,31 +473,28 @@
 	return length && encoding
 }
 
-// once are the headers that a request may carry; PROTOCOL knows no others.
-var once = []string{"X-Request-Id", "X-Class", "X-Tenant", "X-Deadline", "X-Retry", "X-Cost-Hint", "X-Extras", "Idempotency-Key"}
-
 // check tells what is wrong with a request, by its head alone.
-func (n *node) check(r *request) *rejection {
+func (s *Front) check(r *request, c *conn) *rejection {
 	in := r.in
 	no := func(status int, format string, args ...any) *rejection {
 		return &rejection{status, fmt.Sprintf(format, args...)}
 	}
-	bad := http.StatusBadRequest
+	bad := stdhttp.StatusBadRequest
 	switch expect := in.Header.Get("Expect"); {
 	case !in.ProtoAtLeast(1, 1):
-		return no(http.StatusHTTPVersionNotSupported, "only HTTP/1.1 is spoken here")
+		return no(stdhttp.StatusHTTPVersionNotSupported, "only HTTP/1.1 is spoken here")
 	case in.Host == "":
 		return no(bad, "Host: missing")
 	case expect != "" && !strings.EqualFold(expect, "100-continue"):
-		return no(http.StatusExpectationFailed, "Expect: %q is not known", expect)
-	case in.Method != http.MethodGet && in.Method != http.MethodPost:
-		return no(http.StatusMethodNotAllowed, "a request is a GET or a POST")
-	case in.ContentLength > maxBody:
-		return no(http.StatusRequestEntityTooLarge, "Content-Length: over %d", maxBody)
-	case in.Method == http.MethodGet && in.ContentLength != 0:
+		return no(stdhttp.StatusExpectationFailed, "Expect: %q is not known", expect)
+	case in.Method != stdhttp.MethodGet && in.Method != stdhttp.MethodPost:
+		return no(stdhttp.StatusMethodNotAllowed, "a request is a GET or a POST")
+	case in.ContentLength > message.Max:
+		return no(stdhttp.StatusRequestEntityTooLarge, "Content-Length: over %d", message.Max)
+	case in.Method == stdhttp.MethodGet && in.ContentLength != 0:
 		return no(bad, "Content-Length: a GET has no body")
-	case in.Method == http.MethodPost && in.ContentLength >= 0 && in.Header.Get("Content-Length") == "":
-		return no(http.StatusLengthRequired, "Content-Length: missing")
+	case in.Method == stdhttp.MethodPost && in.ContentLength >= 0 && in.Header.Get("Content-Length") == "":
+		return no(stdhttp.StatusLengthRequired, "Content-Length: missing")
 	}
 	for name := range in.Header {
 		if strings.Contains(name, " ") { // net/http lets it pass, so that "Transfer-Encoding :" is not one
@@ -524,51 +504,53 @@
 	if in.URL.Path == "/ready" {
 		return nil
 	}
-	for _, name := range once {
+	for _, name := range message.Headers {
 		if len(in.Header[name]) > 1 {
 			return no(bad, "%s: more than one", name)
 		}
 	}
-	r.id = in.Header.Get("X-Request-Id")
-	if r.id == "" || len(r.id) > maxID {
+	h := in.Header
+	r.Request = &core.Request{ID: h.Get("X-Request-Id"), Class: h.Get("X-Class"), Tenant: h.Get("X-Tenant"), Repeat: h.Get("X-Retry") == "1",
+		Hint: hint(h), Caller: Caller(h, Address(c.Conn), c.user), Message: in}
+	if r.ID == "" || len(r.ID) > maxID {
 		return no(bad, "X-Request-Id: missing or too long")
 	}
 	var err error
-	if r.patience, err = parseDeadline(in.Header.Get("X-Deadline")); err != nil {
+	if r.Patience, err = parseDeadline(in.Header.Get("X-Deadline")); err != nil {
 		return no(bad, "X-Deadline: %v", err)
 	}
-	if err := n.set.Load().fits(in); err != nil {
+	if err := s.Fits(in); err != nil {
 		return no(bad, "%v", err)
 	}
 	return nil
 }
 
 // answer gives a request exactly one answer, unless its client leaves before.
-func (s *clients) answer(c *clientConn, r *request) (answer, bool) {
-	n := s.node
-	if r.id == "" {
-		return answer{status: n.readiness()}, true
+func (s *Front) answer(c *conn, r *request) (answer, bool) {
+	if r.Request == nil {
+		return answer{status: s.Ready()}, true
 	}
 	if c.over { // nothing was sent: refusing is harmless, whatever the class
-		return answer{status: http.StatusServiceUnavailable, body: []byte("too many connections\n"), retryAfter: 250 * time.Millisecond}, true
+		return answer{status: stdhttp.StatusServiceUnavailable, Answer: message.Answer{Body: []byte("too many connections\n")},
+			retryAfter: 250 * time.Millisecond}, true
 	}
-	if !n.begin(r) {
-		c.reject(&rejection{http.StatusConflict, "X-Request-Id: a request with this id is open"})
+	if !s.Core.Begin(r.Request) {
+		c.reject(&rejection{stdhttp.StatusConflict, "X-Request-Id: a request with this id is open"})
 		return answer{}, false
 	}
 	select {
-	case a := <-r.done:
-		return a, true
+	case a := <-r.Answer():
+		return worded(a), true
 	default:
 	}
-	if !r.upload.Whole() {
+	if !r.body.Whole() {
 		select {
-		case a := <-r.done:
-			return a, true
-		case <-r.upload.Ended():
+		case a := <-r.Answer():
+			return worded(a), true
+		case <-r.body.Ended():
 		}
-		if err := r.upload.Err(); err != nil {
-			n.gone(r)
+		if err := r.body.Err(); err != nil {
+			s.Core.Gone(r.Request)
 			c.reject(badBody(err))
 			return answer{}, false
 		}
@@ -580,22 +562,22 @@
 		left <- err != nil
 	}()
 	select {
-	case a := <-r.done:
+	case a := <-r.Answer():
 		c.SetReadDeadline(time.Unix(1, 0)) // ends the look for a client that leaves
 		<-left
-		return a, true
+		return worded(a), true
 	case gone := <-left:
 		if gone {
-			n.gone(r)
+			s.Core.Gone(r.Request)
 			return answer{}, false
 		}
-		return <-r.done, true // the next request is here already, and waits
+		return worded(<-r.Answer()), true // the next request is here already, and waits
 	}
 }
 
 // reject answers what is no request.
-func (c *clientConn) reject(no *rejection) {
-	if c.write(nil, answer{status: no.status, body: []byte(no.text + "\n")}, true) != nil {
+func (c *conn) reject(no *rejection) {
+	if c.write(nil, answer{status: no.status, Answer: message.Answer{Body: []byte(no.text + "\n")}}, true) != nil {
 		return
 	}
 	// Closing resets a connection on which something is unread, and with it what the client has not read.
--- a/internal/front/tunnel/connect.go
+++ b/internal/front/tunnel/connect.go
@@ -9,6 +9,9 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
+
+	"portstall/internal/message"
 )
 
 // maxHead bounds the head of a CONNECT request, in bytes.
@@ -59,12 +62,19 @@
 		say(http.StatusForbidden, "")
 		return nil, ErrRoute
 	}
-	o.reply = func(ok bool) error {
-		if ok {
+	o.reply = func(status int, after time.Duration, reason string) error {
+		if status == http.StatusOK {
 			_, err := io.WriteString(out, "HTTP/1.1 200 Connection established\r\n\r\n")
 			return err
 		}
-		return say(http.StatusServiceUnavailable, "Retry-After: 1\r\n")
+		headers := ""
+		if after > 0 {
+			headers = fmt.Sprintf("Retry-After: %.3f\r\n", after.Seconds())
+		}
+		if reason != "" {
+			headers += message.RefusalHeader + ": " + reason + "\r\n"
+		}
+		return say(status, headers)
 	}
 	return o, nil
 }
--- /dev/null
+++ b/internal/front/tunnel/front.go
@@ -0,0 +1,159 @@
+package tunnel
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"portstall/internal/contract"
+	"portstall/internal/core"
+	"portstall/internal/message"
+)
+
+const (
+	openTime = 5 * time.Second // a client may take over asking for its tunnel,
+	openMost = 64              // so many may be at it; the next waits to be accepted
+	headSize = 16 << 10        // bytes that are read ahead at most
+)
+
+// Options are what a front is made of. Its functions are called from many goroutines.
+type Options struct {
+	Core  *core.Core
+	Table *Table
+	Log   *slog.Logger
+	Away  func() bool  // whether clients are sent away
+	Go    func(func()) // runs what is waited for when the node ends
+	Take  func() bool  // takes one of the places for connections, if there is one,
+	Leave func()       // and gives it back
+	// HTTP serves the requests that come through a tunnel, and gives its place back.
+	HTTP func(conn net.Conn, in *bufio.Reader, user string)
+	// Caller is what the contracts are told of whom an opaque tunnel is for.
+	Caller func(conn net.Conn, user string) contract.Caller
+}
+
+// Front takes in clients that ask for tunnels. It is safe for concurrent use.
+type Front struct {
+	Options
+	opening chan struct{}
+	opened  atomic.Uint64
+	name    string // begins the ids of its requests
+}
+
+// NewFront returns a front.
+func NewFront(o Options) *Front {
+	return &Front{Options: o, opening: make(chan struct{}, openMost), name: fmt.Sprintf("tunnel/%x/", time.Now().UnixNano())}
+}
+
+// Opener reads what a client asks for: SOCKS5 or Connect.
+type Opener func(*bufio.Reader, io.Writer, *Table) (*Opening, error)
+
+// Accept takes clients in until ln is closed.
+func (f *Front) Accept(ln net.Listener, read Opener) {
+	for {
+		conn, err := ln.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return
+		case err != nil: // out of descriptors, most likely
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		f.opening <- struct{}{}
+		f.Go(func() {
+			in, o := f.open(conn, read)
+			<-f.opening
+			switch {
+			case o == nil:
+				conn.Close()
+			case o.Route.Opaque:
+				f.carry(conn, in, o)
+				conn.Close()
+				f.Leave()
+			case o.Accept() != nil:
+				conn.Close()
+				f.Leave()
+			default:
+				conn.SetDeadline(time.Time{})
+				f.HTTP(conn, in, o.User)
+			}
+		})
+	}
+}
+
+// open lets a client ask for its tunnel. Nil: it was told that there is none, as far as that can be told. Else a place is
+// taken for it.
+func (f *Front) open(conn net.Conn, read Opener) (*bufio.Reader, *Opening) {
+	conn.SetDeadline(time.Now().Add(openTime))
+	in := bufio.NewReaderSize(conn, headSize)
+	o, err := read(in, conn, f.Table)
+	if err != nil {
+		f.Log.Info("no tunnel was opened", "client", conn.RemoteAddr(), "err", err)
+		return nil, nil
+	}
+	if f.Away() || !f.Take() {
+		o.Refuse(http.StatusServiceUnavailable, time.Second, "")
+		return nil, nil
+	}
+	return in, o
+}
+
+// carry makes an opaque tunnel a request of its own: its final answer is the reply to the client, and what follows is the
+// tunnel's life.
+func (f *Front) carry(conn net.Conn, in *bufio.Reader, o *Opening) {
+	stream := &message.Stream{Limits: o.Route.Limits}
+	r := &core.Request{ID: fmt.Sprint(f.name, f.opened.Add(1)), Class: o.Route.Class, Caller: f.Caller(conn, o.User),
+		Arrived: f.Core.Now(), Patience: openTime, Body: stream, Message: stream}
+	r.Tenant = r.Caller.Tenant
+	if !f.Core.Begin(r) { // no other request has its id
+		o.Refuse(http.StatusServiceUnavailable, time.Second, "")
+		return
+	}
+	a, ok := f.await(conn, in, r)
+	if !ok {
+		return
+	}
+	if a.Kind != core.Served {
+		status, after, reason := message.Refusal(a)
+		if a.Kind == core.Failed {
+			status = http.StatusBadGateway
+		}
+		o.Refuse(status, after, reason)
+		return
+	}
+	defer a.Payload.Release()
+	conn.SetDeadline(time.Now().Add(openTime))
+	if o.Accept() != nil {
+		return
+	}
+	conn.SetDeadline(time.Time{})
+	a.Payload.(message.Tunnel).Relay(conn, in)
+}
+
+// await waits for the final answer. Not ok: the client has left before it, and the core knows.
+func (f *Front) await(conn net.Conn, in *bufio.Reader, r *core.Request) (core.Answer, bool) {
+	conn.SetDeadline(time.Time{})
+	left := make(chan bool, 1)
+	go func() {
+		// What it sends ahead of the reply stays in the buffer; behind that, its leaving can't be seen.
+		_, err := in.Peek(min(in.Buffered()+1, in.Size()))
+		left <- err != nil
+	}()
+	select {
+	case a := <-r.Answer():
+		conn.SetReadDeadline(time.Unix(1, 0)) // ends the look for a client that leaves
+		<-left
+		return a, true
+	case gone := <-left:
+		if gone {
+			f.Core.Gone(r)
+			return core.Answer{}, false
+		}
+		return <-r.Answer(), true
+	}
+}
--- a/internal/front/tunnel/routes.go
+++ b/internal/front/tunnel/routes.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"net/netip"
 	"strings"
+
+	"portstall/internal/message"
 )
 
 // Route is what a client may ask for by name and port. There is no route to an address: this is no open proxy.
@@ -16,6 +18,10 @@
 	Host    string // lower case, without a dot at its end
 	Port    uint16
 	Service string
+
+	Opaque bool // the tunnel itself is the request,
+	Class  string
+	Limits message.Limits // and lives within these
 }
 
 // Table holds the routes and the users. It is immutable and safe for concurrent use.
--- a/internal/front/tunnel/socks5.go
+++ b/internal/front/tunnel/socks5.go
@@ -6,14 +6,17 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"net/netip"
+	"time"
 )
 
 // Reply codes of SOCKS5 (RFC 1928, 6).
 const (
 	replyOK             = 0
 	replyFailure        = 1 // of the server: it leaves, or has no room
-	replyNotAllowed     = 2
+	replyNotAllowed     = 2 // by the routes or the contracts
+	replyRefused        = 5 // no server takes the connection
 	replyNoCommand      = 7
 	replyNoAddressType  = 8
 	methodNone          = 0x00
@@ -37,14 +40,16 @@
 type Opening struct {
 	Route Route
 	User  string // empty where no password is asked for
-	reply func(ok bool) error
+	reply func(status int, after time.Duration, reason string) error
 }
 
 // Accept tells the client that its tunnel stands.
-func (o *Opening) Accept() error { return o.reply(true) }
+func (o *Opening) Accept() error { return o.reply(http.StatusOK, 0, "") }
 
-// Refuse tells it that none can be had now. Asking again later is harmless.
-func (o *Opening) Refuse() error { return o.reply(false) }
+// Refuse tells it that none is to be had, by HTTP's status and what goes with it. SOCKS5 has a byte for all of that.
+func (o *Opening) Refuse(status int, after time.Duration, reason string) error {
+	return o.reply(status, after, reason)
+}
 
 // SOCKS5 reads a client's greeting, password and request, and finds its route. It reads nothing beyond the request. An
 // error has been told to the client; the connection is of no further use. Who calls bounds the time by the connection's
@@ -124,9 +129,14 @@
 		reply(replyNotAllowed)
 		return nil, ErrRoute
 	}
-	o.reply = func(ok bool) error {
-		if ok {
+	o.reply = func(status int, _ time.Duration, _ string) error {
+		switch status {
+		case http.StatusOK:
 			return reply(replyOK)
+		case http.StatusBadGateway:
+			return reply(replyRefused)
+		case http.StatusForbidden, http.StatusTooManyRequests:
+			return reply(replyNotAllowed)
 		}
 		return reply(replyFailure)
 	}
--- a/internal/front/tunnel/tunnel_test.go
+++ b/internal/front/tunnel/tunnel_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 )
 
 func routes(t testing.TB, users bool) *Table {
@@ -83,7 +84,7 @@
 			t.Errorf("%s: accepted with %q, %q is left, route %+v", c.name, out.String(), left, o.Route)
 		}
 		out.Reset()
-		if o.Refuse(); out.String() != fail(1) {
+		if o.Refuse(503, time.Second, ""); out.String() != fail(1) {
 			t.Errorf("%s: refused with %q", c.name, out.String())
 		}
 	}
@@ -140,7 +141,7 @@
 			t.Errorf("%s: accepted with %q, %q is left", c.name, out.String(), left)
 		}
 		out.Reset()
-		if o.Refuse(); !strings.HasPrefix(out.String(), "HTTP/1.1 503 ") {
+		if o.Refuse(503, time.Second, ""); !strings.HasPrefix(out.String(), "HTTP/1.1 503 ") {
 			t.Errorf("%s: refused with %q", c.name, out.String())
 		}
 	}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -149,6 +149,9 @@
 		if _, err := cfg.contracts(); err != nil {
 			return Config{}, fmt.Errorf("PORTSTALL_FILE: %s: %w", path, err)
 		}
+		if err := cfg.opaque(); err != nil {
+			return Config{}, fmt.Errorf("PORTSTALL_FILE: %s: %w", path, err)
+		}
 	}
 	json.Unmarshal(text, &cfg.file) // it parsed before
 	delete(cfg.file, "known")       // told once, at the start
--- a/internal/node/contracts_test.go
+++ b/internal/node/contracts_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"portstall/internal/config"
+	"portstall/internal/message"
 	"portstall/internal/mgmt"
 )
 
@@ -71,7 +72,7 @@
 		{view, []string{"Authorization: Bearer wrong"}, 403, "rule=none"},
 	} {
 		resp := ask(k.q, k.headers...)
-		reason := resp.Header.Get(refusalHeader)
+		reason := resp.Header.Get(message.RefusalHeader)
 		if resp.StatusCode != k.status || !strings.HasPrefix(reason, k.rule) || (reason == "") != (k.rule == "") {
 			t.Errorf("%v: %d %q, want %d %q", k.headers, resp.StatusCode, reason, k.status, k.rule)
 		}
@@ -82,12 +83,11 @@
 	if got := len(b.requests()); got != 4 {
 		t.Errorf("%d requests reached the web server, want the 4 that were let in", got)
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if len(r.requests) != 0 {
-		t.Errorf("%d requests are remembered", len(r.requests))
+	st := r.core.Stats(10)
+	if st.Open != 0 {
+		t.Errorf("%d requests are remembered", st.Open)
 	}
-	for _, l := range r.ledger.Levels(r.clock.now(), 10) {
+	for _, l := range st.Levels {
 		if l.InFlight != 0 {
 			t.Errorf("%s has %d in flight after all have ended", l.Name, l.InFlight)
 		}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"portstall/internal/back"
 	"portstall/policy"
 )
 
@@ -48,20 +49,20 @@
 	node  *node
 	http  *http.Client
 	addr  string
-	ctx   context.Context // ends when this discovery is left; only under node.mu
+	ctx   context.Context // ends when this discovery is left; only under the core's lock
 	leave context.CancelFunc
 
-	watching bool // guarded by node.mu
-	whole    bool // its whole list is still to be asked for: its versions tell nothing before; guarded by node.mu
+	watching bool // guarded by the core's lock
+	whole    bool // its whole list is still to be asked for: its versions tell nothing before; guarded by the core's lock
 }
 
 func newDiscovery(n *node, addr string) *discovery {
 	d := &discovery{node: n, addr: addr, http: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
-	d.ctx, d.leave = context.WithCancel(n.ctx)
+	d.ctx, d.leave = context.WithCancel(n.core.Context())
 	return d
 }
 
-// follow turns to another discovery. The backends stay until it tells its list. n.mu is held.
+// follow turns to another discovery. The backends stay until it tells its list. The core's lock is held.
 func (n *node) follow(addr string) {
 	n.log.Info("following another discovery", "from", n.disc.addr, "to", addr)
 	old := n.disc
@@ -72,17 +73,13 @@
 	old.http.CloseIdleConnections()
 }
 
-// watch starts the watch loop unless it runs. node.mu is held.
+// watch starts the watch loop unless it runs. The core's lock is held.
 func (d *discovery) watch() {
 	if d.watching {
 		return
 	}
 	d.watching = true
-	d.node.wg.Add(1)
-	go func() {
-		defer d.node.wg.Done()
-		d.loop()
-	}()
+	d.node.core.Go(d.loop)
 }
 
 // loop watches until the discovery is left. Where lists are pushed it goes on after a failure; elsewhere a failure
@@ -96,9 +93,9 @@
 	pause := backoff
 	for d.ctx.Err() == nil {
 		begun := time.Now()
-		d.node.mu.Lock()
+		d.node.core.Lock()
 		since, whole := d.node.version, d.whole
-		d.node.mu.Unlock()
+		d.node.core.Unlock()
 		query, limit := fmt.Sprintf("?since=%d&timeout_ms=%d", since, wait.Milliseconds()), wait+over
 		if whole {
 			query, limit = "", fetchWait
@@ -132,32 +129,30 @@
 // lost tells the policy that the watch is over.
 func (d *discovery) lost() {
 	n := d.node
-	n.mu.Lock()
-	defer n.mu.Unlock()
+	n.core.Lock()
+	defer n.core.Unlock()
 	d.watching = false
 	if d.ctx.Err() == nil {
-		n.handle(n.clock.now(), &policy.Event{Kind: policy.EvList, List: policy.ListFailed})
+		n.core.Handle(&policy.Event{Kind: policy.EvList, List: policy.ListFailed})
 	}
 }
 
-// fetch asks for the whole list once. node.mu is held.
+// fetch asks for the whole list once. The core's lock is held.
 func (d *discovery) fetch() {
 	n := d.node
-	n.wg.Add(1)
-	go func() {
-		defer n.wg.Done()
+	n.core.Go(func() {
 		l, err := d.call("", fetchWait)
 		if err == nil {
 			d.news(l, policy.ListFull, false)
 			return
 		}
 		n.log.Warn("asking discovery failed", "err", err)
-		n.mu.Lock()
-		defer n.mu.Unlock()
+		n.core.Lock()
+		defer n.core.Unlock()
 		if d.ctx.Err() == nil {
-			n.handle(n.clock.now(), &policy.Event{Kind: policy.EvList, List: policy.ListFailed})
+			n.core.Handle(&policy.Event{Kind: policy.EvList, List: policy.ListFailed})
 		}
-	}()
+	})
 }
 
 func (d *discovery) call(query string, limit time.Duration) (*list, error) {
@@ -199,8 +194,8 @@
 // whole list asked for and a watch may cross.
 func (d *discovery) news(l *list, kind policy.ListKind, watched bool) {
 	n := d.node
-	n.mu.Lock()
-	defer n.mu.Unlock()
+	n.core.Lock()
+	defer n.core.Unlock()
 	old := l.Version <= n.version
 	if kind == policy.ListFull { // a watch's comes also from a discovery that counts anew
 		old = l.Version < n.version && !watched && !d.whole
@@ -212,9 +207,8 @@
 	n.takeList(l, kind)
 }
 
-// takeList brings the node's backends up to date and hands the list to the policy. n.mu is held.
+// takeList brings the node's backends up to date and hands the list to the policy. The core's lock is held.
 func (n *node) takeList(l *list, kind policy.ListKind) {
-	now := n.clock.now()
 	n.version = l.Version
 	entries := make([]policy.Entry, 0, len(l.Servers))
 	seen := map[string]bool{}
@@ -233,7 +227,7 @@
 			e.State = policy.Leaving
 		}
 		b := n.names[s.ID]
-		if b != nil && b.addr != s.Addr && s.Addr != "" {
+		if b != nil && b.Addr != s.Addr && s.Addr != "" {
 			// Another address is another process, even where the start time does not tell.
 			entries = append(entries, policy.Entry{ID: b.number, State: policy.Left})
 			n.drop(b)
@@ -244,18 +238,19 @@
 			continue
 		case b == nil:
 			for _, o := range n.names {
-				if o.addr == s.Addr && !o.left && !seen[o.id] {
+				if o.Addr == s.Addr && !o.left && !seen[o.ID] {
 					// Its process can't be there any more: what goes to its address reaches the new one.
 					entries = append(entries, policy.Entry{ID: o.number, State: policy.Left})
 					n.drop(o)
 				}
 			}
 			n.nextNum++
-			b = &backend{number: n.nextNum, id: s.ID, addr: s.Addr, started: s.StartedMS, gate: n.gate(s.ID)}
+			b = &backend{number: n.nextNum, started: s.StartedMS, Server: &back.Server{ID: s.ID, Addr: s.Addr, Via: n.way(s.ID), Gate: n.gate(s.ID)}}
 		case b.started != s.StartedMS:
 			old := b
-			b = &backend{number: old.number, id: s.ID, addr: s.Addr, started: s.StartedMS, gate: old.gate} // the policy tells the two apart by the start
-			n.pool.clear(old, true)
+			// the policy tells the two apart by the start
+			b = &backend{number: old.number, started: s.StartedMS, Server: &back.Server{ID: s.ID, Addr: s.Addr, Via: old.Via, Gate: old.Gate}}
+			n.pool.Clear(old.Server, true)
 		}
 		b.entry = *s
 		n.names[s.ID], n.backends[b.number] = b, b
@@ -264,7 +259,7 @@
 		switch e.State {
 		case policy.Active:
 			b.left = false
-			b.stop.Store(0)
+			b.Stop.Store(0)
 		case policy.Leaving:
 			n.drainBackend(b)
 		case policy.Left:
@@ -278,18 +273,25 @@
 			}
 		}
 	}
-	n.handle(now, &policy.Event{Kind: policy.EvList, List: kind, Entries: entries})
-	n.hand.listed(n, now)
+	n.core.Handle(&policy.Event{Kind: policy.EvList, List: kind, Entries: entries})
+	n.hand.listed(n, n.core.Now())
 	n.ready = false
 	for _, b := range n.names {
-		n.ready = n.ready || b.stop.Load() == 0
+		n.ready = n.ready || b.Stop.Load() == 0
 	}
 }
 
 // drainBackend lets nothing new be written to a backend once its grace is over, less the time that the news took.
 func (n *node) drainBackend(b *backend) {
 	grace := n.set.Load().Policy.DrainGrace * 9 / 10
-	b.stop.CompareAndSwap(0, time.Now().Add(grace).UnixNano())
+	if b.Stop.CompareAndSwap(0, time.Now().Add(grace).UnixNano()) {
+		// Behind the grace, so that no tunnel that still comes to stand within it is missed.
+		time.AfterFunc(grace, func() {
+			if b.Stop.Load() != 0 {
+				n.opaque.Drain(b.Server)
+			}
+		})
+	}
 }
 
 // drop takes a backend off the list. It stays known until its grace is over: the policy may go on with the
@@ -300,19 +302,19 @@
 	}
 	b.left = true
 	n.drainBackend(b)
-	stop := b.stop.Load()
+	stop := b.Stop.Load()
 	time.AfterFunc(n.set.Load().Policy.DrainGrace, func() {
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		if !b.left || b.stop.Load() != stop {
+		n.core.Lock()
+		defer n.core.Unlock()
+		if !b.left || b.Stop.Load() != stop {
 			return // listed again meanwhile
 		}
-		if n.names[b.id] == b {
-			delete(n.names, b.id)
+		if n.names[b.ID] == b {
+			delete(n.names, b.ID)
 		}
 		if n.backends[b.number] == b {
 			delete(n.backends, b.number)
 		}
-		n.pool.clear(b, true)
+		n.pool.Clear(b.Server, true)
 	})
 }
--- a/internal/node/hand.go
+++ b/internal/node/hand.go
@@ -5,31 +5,18 @@
 	"sync"
 	"time"
 
+	"portstall/internal/back"
 	"portstall/internal/mgmt"
 	"portstall/internal/upgrade"
 	"portstall/policy"
 )
 
-// gate is what each send to one web server passes with its first bytes. It belongs to the id: a web server that
-// restarts, or moves to another address, stays behind the same one.
-type gate struct {
-	mu   sync.RWMutex
-	shut bool
-}
-
-// set opens or shuts the gate. Once it has returned from shutting it, no send that began before is still to come.
-func (g *gate) set(shut bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.shut = shut
-}
-
 // hand is which web servers operators took out, by discovery's ids. It is held apart from what discovery tells,
 // which can neither undo nor forget it.
 type hand struct {
 	order    sync.Mutex               // held for the whole of a call: they come one after the other
-	disabled map[string]bool          // guarded by node.mu
-	returned map[string]time.Duration // when an id was put back: it counts as started then. Guarded by node.mu
+	disabled map[string]bool          // guarded by the core's lock
+	returned map[string]time.Duration // when an id was put back: it counts as started then. Guarded by the core's lock
 }
 
 // Disable takes a web server out of service; one that is out already needs no more.
@@ -44,7 +31,7 @@
 
 // byHand carries out a call here and in the process that shares this node, if there is one.
 func (n *node) byHand(ctx context.Context, o upgrade.Order) error {
-	o.At = int64(n.clock.now())
+	o.At = int64(n.core.Now())
 	if !n.knows(o.ID) {
 		return mgmt.ErrUnknown
 	}
@@ -54,8 +41,8 @@
 
 // knows tells whether some web server has the id, or had it when it was taken out.
 func (n *node) knows(id string) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
+	n.core.Lock()
+	defer n.core.Unlock()
 	return n.names[id] != nil || n.hand.disabled[id]
 }
 
@@ -64,14 +51,17 @@
 	defer n.hand.order.Unlock()
 	out := o.Call == upgrade.Disable
 	if b := n.disable(o.ID, out, time.Duration(o.At)); b != nil {
-		b.gate.set(out) // not under node.mu: it waits for what is being written
+		b.Gate.Set(out) // not under the core's lock: it waits for what is being written
+		if out {
+			n.opaque.Drain(b.Server)
+		}
 	}
 }
 
 // disable books what operators said of an id and tells the policy. It returns the backend listed under it, if any.
 func (n *node) disable(id string, out bool, at time.Duration) *backend {
-	n.mu.Lock()
-	defer n.mu.Unlock()
+	n.core.Lock()
+	defer n.core.Unlock()
 	b := n.names[id]
 	if n.hand.disabled[id] == out {
 		return b
@@ -86,17 +76,17 @@
 	}
 	if b != nil {
 		ev.Server = b.number
-		n.handle(n.clock.now(), &ev)
+		n.core.Handle(&ev)
 	}
 	return b
 }
 
 // listed is called with each list that the policy was handed: a web server out by hand is out also under another
-// number. n.mu is held.
+// number. The core's lock is held.
 func (h *hand) listed(n *node, now time.Duration) {
 	for id := range h.disabled {
 		if b := n.names[id]; b != nil {
-			n.handle(now, &policy.Event{Kind: policy.EvDisable, Server: b.number})
+			n.core.Handle(&policy.Event{Kind: policy.EvDisable, Server: b.number})
 		}
 	}
 	for id, at := range h.returned {
@@ -106,10 +96,10 @@
 	}
 }
 
-// gate returns the gate of an id. n.mu is held.
-func (n *node) gate(id string) *gate {
+// gate returns the gate of an id. The core's lock is held.
+func (n *node) gate(id string) *back.Gate {
 	if b := n.names[id]; b != nil {
-		return b.gate
+		return b.Gate
 	}
-	return &gate{shut: n.hand.disabled[id]}
+	return back.NewGate(n.hand.disabled[id])
 }
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -62,10 +62,11 @@
 func (n *node) drain() {
 	if n.life.enter(drained) {
 		n.log.Info("drained by hand: clients are sent away")
+		n.opaque.Drain(nil)
 		// The front notices after a while; until then clients use the connections that they have.
 		time.AfterFunc(acceptFor, func() {
 			if n.life.sendsAway() {
-				n.clients.closeIdle()
+				n.clients.CloseIdle()
 			}
 		})
 	}
@@ -82,6 +83,7 @@
 
 func (n *node) resume() {
 	if n.life.enter(serving) {
+		n.opaque.Resume()
 		n.log.Info("resumed by hand")
 	}
 }
@@ -90,8 +92,8 @@
 
 // Ready tells whether this process serves. A drain does not change that: it is for the front, which asks GET /ready.
 func (n *node) Ready() error {
-	n.mu.Lock()
-	defer n.mu.Unlock()
+	n.core.Lock()
+	defer n.core.Unlock()
 	if !n.ready || n.life.now() == leaving || !n.pair.up.Load() {
 		return errNotReady
 	}
@@ -100,8 +102,8 @@
 
 // readiness is the answer to GET /ready.
 func (n *node) readiness() int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
+	n.core.Lock()
+	defer n.core.Unlock()
 	if !n.ready || n.life.sendsAway() && !n.pair.hasHeir() { // a successor is ready for both
 		return http.StatusServiceUnavailable
 	}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -8,7 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/common/expfmt"
 
-	"portstall/internal/contract"
+	"portstall/internal/core"
 	"portstall/internal/mgmt"
 )
 
@@ -34,8 +34,11 @@
 			return asJSON(w, v, err)
 		}},
 		{Path: "contracts", Type: "application/json", Write: func(w io.Writer, _ url.Values) error {
-			v, err := n.Levels(levelsMost)
-			return asJSON(w, v, err)
+			st := n.core.Stats(levelsMost)
+			if !st.Contracts {
+				return core.ErrNoContracts
+			}
+			return asJSON(w, st.Levels, nil)
 		}},
 		{Path: "metrics", Type: string(expfmt.NewFormat(expfmt.TypeTextPlain)), Write: func(w io.Writer, _ url.Values) error {
 			families, err := registry.Gather()
@@ -64,6 +67,7 @@
 	pressureDesc = prometheus.NewDesc("portstall_pressure", "Part of the latest requests that met no normal server.", nil, nil)
 	allowedDesc  = prometheus.NewDesc("portstall_work_allowed", "Server-seconds a second that all contracts may use together; +Inf at ease.", nil, nil)
 	inUseDesc    = prometheus.NewDesc("portstall_work_in_use", "Server-seconds a second that they use.", nil, nil)
+	partDesc     = prometheus.NewDesc("portstall_contract_part", "Part of each contract that this node hands out.", nil, nil)
 	takenDesc    = prometheus.NewDesc("portstall_requests_open", "Requests that the node has taken and not answered.", nil, nil)
 )
 
@@ -71,19 +75,15 @@
 func (c *collector) Describe(ch chan<- *prometheus.Desc) { prometheus.DescribeByCollect(c, ch) }
 
 func (c *collector) Collect(ch chan<- prometheus.Metric) {
-	n := c.node
-	n.mu.Lock()
-	gauges := map[*prometheus.Desc]float64{pressureDesc: n.bal.Pressure(), takenDesc: float64(len(n.requests))}
-	var levels []contract.Level
-	if n.ledger != nil {
-		gauges[allowedDesc], gauges[inUseDesc] = n.ledger.Allowed(), n.ledger.InUse()
-		levels = n.ledger.Levels(n.clock.now(), levelsMost)
+	st := c.node.core.Stats(levelsMost)
+	gauges := map[*prometheus.Desc]float64{pressureDesc: st.Pressure, takenDesc: float64(st.Open)}
+	if st.Contracts {
+		gauges[allowedDesc], gauges[inUseDesc], gauges[partDesc] = st.Allowed, st.InUse, st.Part
 	}
-	n.mu.Unlock()
 	for desc, v := range gauges {
 		ch <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, v)
 	}
-	for _, l := range levels {
+	for _, l := range st.Levels {
 		ch <- prometheus.MustNewConstMetric(admittedDesc, prometheus.CounterValue, float64(l.Admitted), l.Name)
 		ch <- prometheus.MustNewConstMetric(inFlightDesc, prometheus.GaugeValue, float64(l.InFlight), l.Name)
 		ch <- prometheus.MustNewConstMetric(demandDesc, prometheus.GaugeValue, l.Demand, l.Name)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,52 +9,51 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"runtime"
 	"runtime/debug"
-	"sync"
 	"sync/atomic"
 	"time"
 
-	"portstall/internal/contract"
+	"portstall/internal/back"
+	backhttp "portstall/internal/back/http"
+	backtunnel "portstall/internal/back/tunnel"
+	"portstall/internal/core"
 	"portstall/internal/flow"
+	fronthttp "portstall/internal/front/http"
+	"portstall/internal/message"
 	"portstall/internal/mgmt"
 	"portstall/policy"
 )
 
 const (
-	maxBody    = 32 << 20 // bytes of a request's or an answer's body
-	minSockets = 64       // with fewer descriptors a node cannot serve
-	ownSockets = 16       // descriptors for anything but clients and backends
+	minSockets = 64 // with fewer descriptors a node cannot serve
+	ownSockets = 16 // descriptors for anything but clients and backends
 	transit    = 10 * time.Millisecond
 	// acceptFor is how long after SIGTERM connections are still accepted: the front notices only after a while.
 	acceptFor = 500 * time.Millisecond
+	// streamTime is how long large bodies may go on when the node leaves and the last deadline has passed.
+	streamTime = time.Minute
 )
 
-// node owns the balancer, and with it the order of events: whoever holds mu hands in the next one. Nothing
-// under mu waits for a socket.
+// node is the roster of web servers and all that surrounds the core. What is said to be guarded by the core's lock is
+// handed to it in order with the core's own events.
 type node struct {
 	cfg     Config
 	log     *slog.Logger
-	clock   clock
-	pool    *pool
+	core    *core.Core
+	pool    *back.Pool
+	http    backhttp.Back
+	opaque  *backtunnel.Back
 	set     atomic.Pointer[settings]
 	life    lifecycle
 	hand    hand
 	pair    pair
-	clients *clients
+	clients *fronthttp.Front
 	budget  *flow.Budget
 
-	ctx context.Context // ends when the node does; attempts and watches hang on it
-	wg  sync.WaitGroup  // attempts and calls to discovery
-
-	mu       sync.Mutex
+	// Guarded by the core's lock.
 	disc     *discovery
-	bal      *policy.Balancer
-	ledger   *contract.Ledger // nil where there are no contracts
-	actions  []policy.Action
-	requests map[string]*request // by the clients' ids
 	names    map[string]*backend // listed backends by discovery's id
 	backends map[uint32]*backend // the same by the policy's number, and those that left until their grace is over
 	nextNum  uint32
@@ -62,29 +61,24 @@
 	ready    bool  // some backend is listed as ready
 }
 
+// backend is one web server as the roster knows it. All but the server itself is guarded by the core's lock.
+type backend struct {
+	*back.Server
+	number  uint32 // the policy's name for it
+	started int64
+	entry   listed // as discovery last told it
+	left    bool   // off the list
+}
+
 // clock tells Unix time that runs on evenly when the system's clock is set.
 type clock struct{ start time.Time }
 
-func (c clock) now() time.Duration {
+// Now and AfterFunc make it a core.Clock.
+func (c clock) Now() time.Duration {
 	return time.Duration(c.start.UnixNano()) + time.Since(c.start)
 }
 
-// request is one client request that this node has taken.
-type request struct {
-	id       string
-	arrived  time.Time     // when its last byte was there, or its head where the body is still to come
-	patience time.Duration // how long its client waits
-	until    time.Duration
-	in       *http.Request
-	from     netip.Addr // its client,
-	user     string     // and whom its tunnel was opened for
-	grant    grant
-	upload   *flow.Upload
-	attempts []*attempt
-	open     int
-	answered bool
-	done     chan answer // holds the one final answer; never blocks
-}
+func (c clock) AfterFunc(d time.Duration, f func()) { time.AfterFunc(d, f) }
 
 // Run serves until ctx ends, finishes what it has taken and returns. A configuration from reload replaces what can
 // be replaced while it serves: the settings, and the address of discovery.
@@ -124,7 +118,7 @@
 			select {
 			case cfg := <-reload:
 				n.reload(cfg)
-			case <-n.ctx.Done():
+			case <-n.core.Context().Done():
 				return
 			}
 		}
@@ -145,201 +139,123 @@
 // start brings up all of a node but its listener, with what a predecessor left if there was one. The returned
 // function ends what was started.
 func start(cfg Config, old *estate, log *slog.Logger) (*node, func(), error) {
-	bal, err := policy.New(cfg.Settings.Policy, cfg.Seed)
+	n := &node{cfg: cfg, log: log, names: map[string]*backend{}, backends: map[uint32]*backend{},
+		hand: hand{disabled: map[string]bool{}, returned: map[string]time.Duration{}}}
+	var err error
+	n.core, err = core.New(cfg.Settings.Policy, cfg.Seed, core.Options{Clock: clock{time.Now()}, Back: n, Roster: n, Log: log, Transit: transit})
 	if err != nil {
 		return nil, nil, err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	n := &node{cfg: cfg, log: log, clock: clock{time.Now()}, ctx: ctx, bal: bal, requests: map[string]*request{},
-		names: map[string]*backend{}, backends: map[uint32]*backend{},
-		hand: hand{disabled: map[string]bool{}, returned: map[string]time.Duration{}}}
-	n.set.Store(newSettings(cfg.Settings))
-	n.pool = newPool(cfg)
-	n.budget = flow.NewBudget(cfg.bodyBytes())
-	n.clients = newClients(n)
 	table, err := cfg.contracts()
 	if err != nil {
-		cancel()
+		n.core.Close()
 		return nil, nil, fmt.Errorf("contracts: %w", err)
 	}
-	n.bind(table)
+	n.set.Store(newSettings(cfg.Settings))
+	n.pool = back.NewPool(cfg.poolLimit(), cfg.Settings.ConnectTimeout, cfg.Settings.ConnIdle)
+	n.budget = flow.NewBudget(cfg.bodyBytes())
+	n.http = backhttp.Back{Core: n.core, Pool: n.pool, Budget: n.budget, Log: log,
+		Reports: func() bool { return n.set.Load().Reports }}
+	n.opaque = backtunnel.New(n.core, n.pool)
+	n.clients = fronthttp.New(fronthttp.Options{Core: n.core, Budget: n.budget, Limit: cfg.clientLimit(), Away: n.life.sendsAway,
+		Ready: n.readiness, Fits: func(r *http.Request) error { return n.set.Load().fits(r) }})
 	n.pair.succeeded, n.pair.stopped = make(chan struct{}), make(chan struct{})
 	n.limits(1)
 	n.disc = newDiscovery(n, cfg.Discovery)
 	// The list can start a watch at once, whose answer must not be taken in before the list is.
-	n.mu.Lock()
+	n.core.Lock()
+	n.core.Bind(table)
 	if old != nil {
 		n.enter(old)
-		if n.ledger != nil {
-			n.ledger.Succeed()
-		}
+		n.core.Succeed()
 	} else {
 		n.takeList(&cfg.Known, policy.ListCached)
 	}
 	if !cfg.Settings.Policy.MustAsk {
 		n.disc.watch() // the policy asks only where lists are not pushed
 	}
-	n.mu.Unlock()
+	n.core.Unlock()
 	return n, func() {
-		// Under the lock, which each wg.Add holds too: a timer may be about to start a watch. None does after this.
-		n.mu.Lock()
-		cancel()
-		n.mu.Unlock()
-		n.wg.Wait()
+		n.core.Close()
 		n.disc.http.CloseIdleConnections()
-		n.pool.stop()
+		n.pool.Stop()
 	}, nil
 }
 
-// begin takes a request and hands it to the policy, unless one with its id is open. The final answer comes on the
-// request's channel.
-func (n *node) begin(r *request) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	now := n.clock.now()
-	if n.requests[r.id] != nil || now < n.pair.theirs[r.id] {
-		return false
-	}
-	// The answer must be with the client when its time is up: the way there and back and the time that the
-	// request has spent here are off.
-	left := max(0, r.patience-time.Since(r.arrived)-transit)
-	r.until, r.done = now+left, make(chan answer, 1)
-	if !n.admit(now, r) {
-		return true
-	}
-	n.requests[r.id] = r
-	n.handle(now, &policy.Event{Kind: policy.EvRequest, ID: r.id, Class: r.in.Header.Get("X-Class"),
-		Tenant: r.in.Header.Get("X-Tenant"), Left: left, Repeat: r.in.Header.Get("X-Retry") == "1",
-		Borrowed: r.grant.verdict.Borrowed})
-	return true
-}
-
-// gone tells the policy that a client has closed its connection, unless the request has its answer by now.
-func (n *node) gone(r *request) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if r.answered {
-		n.release(<-r.done)
-		return
+// serve answers clients on ln until ctx ends and then until all that was taken is answered.
+func (n *node) serve(ctx context.Context, ln net.Listener) error {
+	s := n.clients
+	failed := make(chan error, 1)
+	go func() { failed <- s.Accept(ln) }()
+	n.takeOver()
+	defer n.pair.close()
+	var err error
+	select {
+	case err := <-failed:
+		return fmt.Errorf("serve: %w", err)
+	case <-n.pair.succeeded: // by a process that accepts on the same socket
+		err = n.stopAccepting(ln, failed)
+		n.life.enter(leaving)
+		n.opaque.Drain(nil)
+		n.log.Info("a successor serves: finishing what was taken")
+		time.Sleep(acceptFor)
+	case <-ctx.Done():
+		n.life.enter(leaving)
+		n.opaque.Drain(nil)
+		n.log.Info("leaving: finishing what was taken")
+		// Connections go on coming for a while, and clients use those that they have: each answer now tells them
+		// to close, and only then is the listener closed.
+		time.Sleep(acceptFor)
+		err = n.stopAccepting(ln, failed)
 	}
-	r.answered = true
-	n.handle(n.clock.now(), &policy.Event{Kind: policy.EvGone, ID: r.id})
-	n.forget(r)
-}
-
-// ended hands in an attempt's outcome, and passes on the answer of one that was served.
-func (n *node) ended(a *attempt, res result) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	r := a.request
-	r.open--
-	if res.outcome == policy.OK && !r.answered {
-		r.answered = true
-		r.done <- res.answer
-	} else {
-		n.release(res.answer) // nobody waits for it
-	}
-	now := n.clock.now()
-	took := now - a.sent
-	if !res.first.IsZero() { // what follows tells of the network and of the body's size
-		took = max(0, took-time.Since(res.first))
+	s.CloseIdle() // the clients of those on which no request has come turn to other nodes
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.Wait()
+	}()
+	select {
+	case <-done:
+		return err
+	case <-time.After(n.set.Load().longest() + transit):
+		s.Cut(false) // the last deadline has passed
 	}
-	r.grant.took += now - a.sent
-	spent := r.upload.Spent() || !r.answered && !n.maySendAgain(now, r)
-	n.handle(now, &policy.Event{Kind: policy.EvOutcome, ID: r.id, Server: a.backend.number, Attempt: a.index,
-		Took: took, Last: r.answered, Spent: spent, Outcome: res.outcome, Load: res.load})
-	n.forget(r)
-}
-
-// uploaded notes that the last byte of a body that was not whole at the start has come: the request's time begins.
-func (n *node) uploaded(a *attempt) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	r := a.request
-	a.sent = n.clock.now()
-	r.until = a.sent + r.patience - transit
-}
-
-// finish gives a request its final answer, unless it has one.
-func (n *node) finish(id string, a answer) {
-	if r := n.requests[id]; r != nil && !r.answered {
-		r.answered = true
-		r.done <- a
-		n.forget(r)
+	select {
+	case <-done:
+	case <-time.After(streamTime):
+		s.Cut(true)
+		<-done
 	}
+	return err
 }
 
-// forget drops a request that nothing more can come of.
-func (n *node) forget(r *request) {
-	if r.answered && r.open == 0 {
-		delete(n.requests, r.id)
-		n.settleGrant(r)
+// stopAccepting closes the listener and waits until accept has returned: what it has taken from the socket by then is
+// served.
+func (n *node) stopAccepting(ln net.Listener, failed <-chan error) error {
+	defer close(n.pair.stopped)
+	err := ln.Close()
+	if e := <-failed; !errors.Is(e, net.ErrClosed) {
+		err = errors.Join(err, e)
 	}
+	return err
 }
 
-// handle hands one event to the policy and carries out what it wants, in its order. n.mu is held.
-func (n *node) handle(now time.Duration, ev *policy.Event) {
-	n.actions = n.bal.Handle(now, ev, n.actions[:0])
-	for i := range n.actions {
-		a := &n.actions[i]
-		switch a.Kind {
-		case policy.ActSend:
-			n.send(now, a)
-		case policy.ActCancel:
-			if r := n.requests[a.ID]; r != nil && a.Attempt < len(r.attempts) {
-				r.attempts[a.Attempt].cancel(errCanceled)
-			}
-		case policy.ActRefuse:
-			n.finish(a.ID, answer{status: http.StatusServiceUnavailable, retryAfter: a.Wait})
-		case policy.ActFail:
-			n.finish(a.ID, answer{status: http.StatusInternalServerError})
-		case policy.ActTimer:
-			token := a.Token
-			time.AfterFunc(a.At-now, func() { n.due(token) })
-		case policy.ActWatch:
-			n.disc.watch()
-		case policy.ActFetch:
-			n.disc.fetch()
-		case policy.ActLog:
-			n.log.Info(a.Text)
-		}
+// Server, Watch and Fetch make it a core.Roster.
+func (n *node) Server(number uint32) (any, bool) {
+	b := n.backends[number]
+	if b == nil {
+		return nil, false
 	}
+	return b.Server, true
 }
 
-// due hands in a timer.
-func (n *node) due(token string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.ctx.Err() == nil {
-		n.handle(n.clock.now(), &policy.Event{Kind: policy.EvTimer, Token: token})
-	}
-}
+func (n *node) Watch() { n.disc.watch() }
+func (n *node) Fetch() { n.disc.fetch() }
 
-// send starts an attempt. Its outcome is handed in later, whatever comes of it.
-func (n *node) send(now time.Duration, act *policy.Action) {
-	r := n.requests[act.ID]
-	if r == nil {
-		return
+// Attempt makes it a core.Back: each request goes by the protocol that it came for.
+func (n *node) Attempt(ctx context.Context, a *core.Attempt) core.Result {
+	if _, ok := a.Request.Message.(*message.Stream); ok {
+		return n.opaque.Attempt(ctx, a)
 	}
-	a := &attempt{request: r, index: len(r.attempts), backend: n.backends[act.Server], sent: now}
-	a.wait = r.until - now
-	if act.Wait > 0 {
-		a.wait = min(a.wait, act.Wait)
-	}
-	ctx, cancel := context.WithCancelCause(n.ctx)
-	a.cancel = cancel
-	r.attempts = append(r.attempts, a)
-	r.open++
-	n.wg.Add(1)
-	go func() {
-		defer n.wg.Done()
-		defer cancel(nil)
-		res := result{outcome: policy.Moot}
-		if a.backend == nil {
-			a.backend = &backend{number: act.Server} // in none of the lists: never sent
-		} else {
-			res = n.run(ctx, a)
-		}
-		n.ended(a, res)
-	}()
+	return n.http.Attempt(ctx, a)
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -17,7 +17,10 @@
 	"testing"
 	"time"
 
+	"portstall/internal/core"
 	"portstall/internal/flow"
+	fronthttp "portstall/internal/front/http"
+	"portstall/internal/message"
 	"portstall/policy"
 )
 
@@ -81,9 +84,9 @@
 		t.Errorf("the backend got %d requests, want 1", n)
 	}
 	wait(t, "an empty table", func() bool {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		return len(r.requests) == 0
+		r.core.Lock()
+		defer r.core.Unlock()
+		return len(r.core.Open()) == 0
 	})
 	if resp, _ := r.dial(t).ask(save("twin")); resp.StatusCode != 200 {
 		t.Errorf("the id once more: %d", resp.StatusCode)
@@ -112,7 +115,7 @@
 		want int
 	}{
 		{"no id", without(func(q *call) { q.id = "" }), 400},
-		{"an endless id", without(func(q *call) { q.id = strings.Repeat("x", maxID+1) }), 400},
+		{"an endless id", without(func(q *call) { q.id = strings.Repeat("x", 256+1) }), 400},
 		{"two ids", with("X-Request-Id: y"), 400},
 		{"no class", without(func(q *call) { q.class = "" }), 400},
 		{"a class that does not exist", without(func(q *call) { q.class = "sav" }), 400},
@@ -132,7 +135,7 @@
 		{"a negative length", strings.Replace(save("x").text(), "Length: 8", "Length: -8", 1), 400},
 		{"a huge length", strings.Replace(save("x").text(), "Length: 8", "Length: 99999999999999999999", 1), 400},
 		{"two lengths", with("Content-Length: 7"), 400},
-		{"a body too large", strings.Replace(save("x").text(), "Length: 8", fmt.Sprint("Length: ", maxBody+1), 1), 413},
+		{"a body too large", strings.Replace(save("x").text(), "Length: 8", fmt.Sprint("Length: ", message.Max+1), 1), 413},
 		{"a body too large that is not sent", strings.Replace(save("x").text(), "Length: 8", "Length: 60000000", 1), 413},
 		{"cut short", strings.TrimSuffix(save("x").text(), "ow"), 400},
 		{"chunks that are none", "POST /api HTTP/1.1\r\nHost: x\r\nX-Request-Id: x\r\nX-Class: quote\r\nX-Deadline: 50000m\r\n" +
@@ -145,7 +148,7 @@
 		{"another protocol", strings.Replace(save("x").text(), "HTTP/1.1", "HTTP/1.0", 1), 505},
 		{"no host", strings.Replace(save("x").text(), "Host: backend.local\r\n", "", 1), 400},
 		{"noise", "\x16\x03\x01\x02\x00\x01\r\n\r\n", 400},
-		{"an endless head", "GET /api HTTP/1.1\r\n" + strings.Repeat("X-A: b\r\n", maxHead), 431},
+		{"an endless head", "GET /api HTTP/1.1\r\n" + strings.Repeat("X-A: b\r\n", fronthttp.HeadSize), 431},
 		{"an expectation", with("Expect: much"), 417},
 	} {
 		cl := r.dial(t)
@@ -203,7 +206,7 @@
 			t.Errorf("%q: %d bytes, %v, want the connection closed", text, n, err)
 		}
 	}
-	if max(headTime, bodyStall) > 2800*time.Millisecond || idleTime < 2*time.Second {
+	if max(fronthttp.HeadTime, fronthttp.BodyStall) > 2800*time.Millisecond || fronthttp.IdleTime < 2*time.Second {
 		t.Error("3 s are owed to a bad client, 2 s to a connection between requests")
 	}
 	close(release)
@@ -258,7 +261,7 @@
 		}, 500, 503},
 		{"a head without end", func(c net.Conn, _ *http.Request, _ int) bool {
 			io.WriteString(c, "HTTP/1.1 200 OK\r\n")
-			_, err := io.WriteString(c, strings.Repeat("X-A: b\r\n", 2*maxHead))
+			_, err := io.WriteString(c, strings.Repeat("X-A: b\r\n", 2*fronthttp.HeadSize))
 			return err == nil
 		}, 500, 503},
 		{"an answer said to be huge", func(c net.Conn, _ *http.Request, _ int) bool {
@@ -277,7 +280,7 @@
 			return true
 		}, 200, 200},
 		{"an answer too large", func(c net.Conn, _ *http.Request, _ int) bool {
-			_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\npart", maxBody+1)
+			_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\npart", message.Max+1)
 			return err == nil
 		}, 500, 503},
 	} {
@@ -396,10 +399,7 @@
 			t.Errorf("request %d: %d", i, resp.StatusCode)
 		}
 		wait(t, "the end of the connection", func() bool {
-			r.pool.mu.Lock()
-			defer r.pool.mu.Unlock()
-			e := r.pool.rest.Front()
-			return e == nil || pending(e.Value.(*backendConn).Conn) == ended
+			return b.closed.Load() == int64(i+1)
 		})
 	}
 	if n := len(b.requests()); n != 3 {
@@ -412,7 +412,7 @@
 	t.Parallel()
 	one, two := newBox(t, served), newBox(t, served)
 	r := newRig(t, newRegistry(t), settingsJSON, nil, one.entry("s-1"), two.entry("s-2"))
-	r.pool.limit = 1
+	r.pool.Resize(1)
 	c := r.dial(t)
 	for i := range 40 {
 		if resp, _ := c.ask(view(fmt.Sprint(i))); resp.StatusCode != 200 {
@@ -422,10 +422,8 @@
 	if len(one.requests()) == 0 || len(two.requests()) == 0 {
 		t.Error("one of the backends got nothing")
 	}
-	r.pool.mu.Lock()
-	defer r.pool.mu.Unlock()
-	if r.pool.open != 1 || r.pool.rest.Len() > 1 {
-		t.Errorf("%d connections count as open and %d as idle, want 1", r.pool.open, r.pool.rest.Len())
+	if open, idle := r.pool.Counts(); open != 1 || idle > 1 {
+		t.Errorf("%d connections count as open and %d as idle, want 1", open, idle)
 	}
 }
 
@@ -440,15 +438,15 @@
 	c.ask(view("x"))
 	g.next <- registryAnswer{200, list{Version: 2, Servers: []listed{b.entry("s-2")}}}
 	wait(t, "the news", func() bool {
-		r.mu.Lock()
-		defer r.mu.Unlock()
+		r.core.Lock()
+		defer r.core.Unlock()
 		return r.version == 2
 	})
 	if resp, _ := c.ask(view("y")); resp.StatusCode != 200 {
 		t.Errorf("answered %d", resp.StatusCode)
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	r.core.Lock()
+	defer r.core.Unlock()
 	if old, now := r.names["s-1"], r.names["s-2"]; !old.left || now.left || now.number == old.number || b.connections() != 2 {
 		t.Errorf("old %+v, new %+v, %d connections", old, now, b.connections())
 	}
@@ -544,9 +542,9 @@
 		t.Fatal("the attempt goes on")
 	}
 	wait(t, "an empty table of requests", func() bool {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		return len(r.requests) == 0
+		r.core.Lock()
+		defer r.core.Unlock()
+		return len(r.core.Open()) == 0
 	})
 }
 
@@ -555,20 +553,20 @@
 	t.Parallel()
 	b := newBox(t, served)
 	r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
-	r.mu.Lock()
+	r.core.Lock()
 	be := r.names["s-1"]
-	r.mu.Unlock()
+	r.core.Unlock()
 	for _, q := range []call{view("v"), save("s")} {
 		in, _ := http.NewRequest(q.method, "http://x/api", nil)
 		up, _ := flow.NewUpload(strings.NewReader(q.body), int64(len(q.body)))
-		a := &attempt{request: &request{in: in, upload: up}, backend: be, wait: patience}
-		be.stop.Store(time.Now().Add(-time.Millisecond).UnixNano())
-		if res := r.run(context.Background(), a); res.outcome != policy.Moot {
-			t.Errorf("%s: outcome %d, want it never sent", q.method, res.outcome)
+		a := &core.Attempt{Request: &core.Request{Message: in, Body: up}, Server: be.Server, Wait: patience}
+		be.Stop.Store(time.Now().Add(-time.Millisecond).UnixNano())
+		if res := r.Attempt(context.Background(), a); res.Outcome != policy.Moot {
+			t.Errorf("%s: outcome %d, want it never sent", q.method, res.Outcome)
 		}
-		be.stop.Store(0)
-		if res := r.run(context.Background(), a); res.outcome != policy.OK {
-			t.Errorf("%s: outcome %d while no grace runs, want OK", q.method, res.outcome)
+		be.Stop.Store(0)
+		if res := r.Attempt(context.Background(), a); res.Outcome != policy.OK {
+			t.Errorf("%s: outcome %d while no grace runs, want OK", q.method, res.Outcome)
 		}
 	}
 	if n := len(b.requests()); n != 2 {
@@ -797,7 +795,7 @@
 		return served(c, r, nth)
 	})
 	r := newRig(t, newRegistry(t), settingsJSON, func(c *Config) { c.Sockets = 64 }, b.entry("s-1"))
-	r.pool.limit = 100
+	r.pool.Resize(100)
 	var open []*client
 	for i := range (64 - ownSockets) / 2 {
 		c := r.dial(t)
@@ -852,7 +850,7 @@
 		for range 20 {
 			r.dial(t)
 		}
-		time.Sleep(2 * silentTime)
+		time.Sleep(2 * fronthttp.SilentTime)
 		if resp, _ := r.dial(t).ask(view(fmt.Sprint("n-", i))); resp.StatusCode != 200 {
 			t.Errorf("a new connection among silent ones: %d", resp.StatusCode)
 		}
@@ -877,27 +875,27 @@
 		return served(c, r, nth)
 	})
 	r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
-	r.mu.Lock()
+	r.core.Lock()
 	be := r.names["s-1"]
-	r.mu.Unlock()
-	run := func(wait time.Duration) result {
+	r.core.Unlock()
+	run := func(wait time.Duration) core.Result {
 		in, _ := http.NewRequest("POST", "http://x/api", nil)
 		up, _ := flow.NewUpload(strings.NewReader("a door"), 6)
-		a := &attempt{request: &request{in: in, upload: up}, backend: be, wait: wait}
-		return r.run(context.Background(), a)
+		a := &core.Attempt{Request: &core.Request{Message: in, Body: up}, Server: be.Server, Wait: wait}
+		return r.Attempt(context.Background(), a)
 	}
 	var wg sync.WaitGroup
 	for range kept {
 		wg.Go(func() {
-			if res := run(patience); res.outcome != policy.OK {
-				t.Errorf("outcome %d", res.outcome)
+			if res := run(patience); res.Outcome != policy.OK {
+				t.Errorf("outcome %d", res.Outcome)
 			}
 		})
 	}
 	wg.Wait()
 	silent.Store(true)
-	if res := run(200 * time.Millisecond); res.outcome != policy.TimedOut {
-		t.Fatalf("outcome %d of a silent backend", res.outcome)
+	if res := run(200 * time.Millisecond); res.Outcome != policy.TimedOut {
+		t.Fatalf("outcome %d of a silent backend", res.Outcome)
 	}
 	for range kept - 1 { // the attempt's own connection is closed in any case
 		select {
@@ -907,8 +905,8 @@
 		}
 	}
 	silent.Store(false)
-	if res := run(patience); res.outcome != policy.OK {
-		t.Errorf("outcome %d on a new connection", res.outcome)
+	if res := run(patience); res.Outcome != policy.OK {
+		t.Errorf("outcome %d on a new connection", res.Outcome)
 	}
 }
 
@@ -953,15 +951,15 @@
 	g.next <- registryAnswer{200, list{Version: 3, Full: true, Servers: []listed{b.entry("s-1")}}}
 	g.next <- registryAnswer{200, list{Version: 3, Full: true, Servers: []listed{b.entry("s-1")}}}
 	wait(t, "both lists", func() bool {
-		r.mu.Lock()
-		defer r.mu.Unlock()
+		r.core.Lock()
+		defer r.core.Unlock()
 		return r.version == 3
 	})
 	if resp, _ := c.ask(view("y")); resp.StatusCode != 200 {
 		t.Errorf("answered %d", resp.StatusCode)
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	r.core.Lock()
+	defer r.core.Unlock()
 	if n := r.names["s-1"].number; n != 1 || b.connections() != 1 {
 		t.Errorf("backend number %d with %d connections, want those from before", n, b.connections())
 	}
@@ -1004,22 +1002,22 @@
 	t.Parallel()
 	b := newBox(t, served)
 	r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
-	r.mu.Lock()
+	r.core.Lock()
 	be := r.names["s-1"]
-	r.mu.Unlock()
+	r.core.Unlock()
 	in, _ := http.NewRequest("POST", "http://x/api", nil)
 	up, _ := flow.NewUpload(http.NoBody, 0)
-	a := &attempt{request: &request{in: in, upload: up}, backend: be, wait: patience}
+	a := &core.Attempt{Request: &core.Request{Message: in, Body: up}, Server: be.Server, Wait: patience}
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
-	r.pool.limit = 0
-	if res := r.run(ctx, a); res.outcome != policy.Moot {
-		t.Errorf("with no descriptor: outcome %d, want it never sent", res.outcome)
-	}
-	r.pool.limit = 100
-	cancel(errCanceled)
-	if res := r.run(ctx, a); res.outcome != policy.Canceled {
-		t.Errorf("given up before it was sent: outcome %d, want cancelled", res.outcome)
+	r.pool.Resize(0)
+	if res := r.Attempt(ctx, a); res.Outcome != policy.Moot {
+		t.Errorf("with no descriptor: outcome %d, want it never sent", res.Outcome)
+	}
+	r.pool.Resize(100)
+	cancel(core.ErrCanceled)
+	if res := r.Attempt(ctx, a); res.Outcome != policy.Canceled {
+		t.Errorf("given up before it was sent: outcome %d, want cancelled", res.Outcome)
 	}
 	if n := len(b.requests()); n != 0 {
 		t.Errorf("the backend got %d requests", n)
--- a/internal/node/operation_test.go
+++ b/internal/node/operation_test.go
@@ -10,13 +10,14 @@
 	"testing"
 	"time"
 
+	"portstall/internal/back"
 	"portstall/internal/mgmt"
 )
 
 // lists hands the node a whole list.
 func (r *rig) lists(version int64, servers ...listed) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	r.core.Lock()
+	defer r.core.Unlock()
 	r.takeList(&list{Version: version, Full: true, Servers: servers}, 1)
 }
 
@@ -86,11 +87,11 @@
 	conn, err := net.Dial("tcp", b.ln.Addr().String())
 	must(t, err)
 	defer conn.Close()
-	r.mu.Lock()
-	back := r.names["s-1"]
-	r.mu.Unlock()
+	r.core.Lock()
+	server := r.names["s-1"].Server
+	r.core.Unlock()
 	must(t, r.Disable(context.Background(), "s-1"))
-	if n, err := (&gated{pacedWriter: pacedWriter{conn, writeStall}, backend: back}).Write([]byte("GET")); n != 0 || !errors.Is(err, errShut) {
+	if n, err := back.NewGated(conn, server).Write([]byte("GET")); n != 0 || !errors.Is(err, back.ErrShut) {
 		t.Errorf("wrote %d bytes, %v", n, err)
 	}
 }
--- a/internal/node/pair.go
+++ b/internal/node/pair.go
@@ -22,11 +22,10 @@
 // pair is this process's part in a replacement: it has at most one predecessor and one successor, and as long as one
 // of them is there the two are one node.
 type pair struct {
-	succeeded chan struct{}            // closed when a successor serves
-	stopped   chan struct{}            // closed when, for that, nothing more is accepted here
-	once      sync.Once                // closes succeeded
-	up        atomic.Bool              // this process accepts clients
-	theirs    map[string]time.Duration // ids of requests that the predecessor had open, and until when. Guarded by node.mu
+	succeeded chan struct{} // closed when a successor serves
+	stopped   chan struct{} // closed when, for that, nothing more is accepted here
+	once      sync.Once     // closes succeeded
+	up        atomic.Bool   // this process accepts clients
 
 	mu       sync.Mutex
 	peer     *upgrade.Peer // the other process
@@ -76,7 +75,7 @@
 	return old
 }
 
-// enter takes up a predecessor's estate. n.mu is held.
+// enter takes up a predecessor's estate. The core's lock is held.
 func (n *node) enter(old *estate) {
 	for _, id := range old.Disabled {
 		n.hand.disabled[id] = true
@@ -84,10 +83,11 @@
 	for id, at := range old.Returned {
 		n.hand.returned[id] = time.Duration(at)
 	}
-	n.pair.theirs = map[string]time.Duration{}
+	theirs := map[string]time.Duration{}
 	for id, until := range old.Open {
-		n.pair.theirs[id] = time.Duration(until)
+		theirs[id] = time.Duration(until)
 	}
+	n.core.Elsewhere(theirs)
 	if old.Drained {
 		n.life.enter(drained)
 	}
@@ -104,7 +104,7 @@
 	peer := n.pair.peer
 	n.pair.mu.Unlock()
 	if peer != nil {
-		ctx, cancel := context.WithTimeout(n.ctx, readyTime)
+		ctx, cancel := context.WithTimeout(n.core.Context(), readyTime)
 		defer cancel()
 		if err := peer.Ready(ctx); err != nil {
 			n.log.Warn("the predecessor does not make way", "err", err)
@@ -161,8 +161,8 @@
 
 // State returns what a successor needs.
 func (n *node) State() (json.RawMessage, error) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
+	n.core.Lock()
+	defer n.core.Unlock()
 	e := estate{Discovery: n.disc.addr, List: list{Version: n.version, Full: true}, Returned: map[string]int64{},
 		Open: map[string]int64{}, Drained: n.life.now() == drained}
 	for _, b := range n.names {
@@ -176,8 +176,8 @@
 	for id, at := range n.hand.returned {
 		e.Returned[id] = int64(at)
 	}
-	for id, r := range n.requests {
-		e.Open[id] = int64(r.until)
+	for id, until := range n.core.Open() {
+		e.Open[id] = int64(until)
 	}
 	return json.Marshal(e)
 }
@@ -210,9 +210,9 @@
 	back := n.pair.back
 	n.pair.peer, n.pair.back = nil, nil
 	n.pair.mu.Unlock()
-	n.mu.Lock()
-	n.pair.theirs = nil
-	n.mu.Unlock()
+	n.core.Lock()
+	n.core.Elsewhere(nil)
+	n.core.Unlock()
 	n.log.Info("the other process is gone")
 	if back != nil {
 		back()
@@ -231,8 +231,8 @@
 
 // limits sets what this process may use: its part of the node's descriptors and memory.
 func (n *node) limits(processes int) {
-	n.pool.resize(n.cfg.poolLimit() / processes)
-	n.clients.resize(n.cfg.clientLimit() / processes)
+	n.pool.Resize(n.cfg.poolLimit() / processes)
+	n.clients.Resize(n.cfg.clientLimit() / processes)
 	if n.cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(n.cfg.MemoryMB) << 20 * 3 / 4 / int64(processes))
 	}
--- a/internal/node/pair_test.go
+++ b/internal/node/pair_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"portstall/internal/flow"
 	"portstall/internal/upgrade"
 )
 
@@ -46,14 +47,14 @@
 	young := newHeir(t, est, g, settingsJSON, nil)
 	wait(t, "the successor's readiness", func() bool { return young.Ready() == nil })
 
-	young.mu.Lock()
-	if young.version != 7 || len(young.names) != 3 || young.names["s-3"].stop.Load() == 0 {
+	young.core.Lock()
+	if young.version != 7 || len(young.names) != 3 || young.names["s-3"].Stop.Load() == 0 {
 		t.Errorf("list %d with %d web servers, want 7 with 3 of which one drains", young.version, len(young.names))
 	}
 	if young.hand.returned["s-2"] != old.hand.returned["s-2"] || young.hand.returned["s-2"] == 0 {
 		t.Error("a web server that is cold by hand is not any more")
 	}
-	young.mu.Unlock()
+	young.core.Unlock()
 	if resp, _ := young.dial(t).ask(quote("open")); resp.StatusCode != 409 {
 		t.Errorf("the id of a request that the predecessor has open: %d", resp.StatusCode)
 	}
@@ -65,9 +66,9 @@
 	}
 
 	disabled := func(r *rig, id string) bool {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		return r.hand.disabled[id] && r.names[id].gate.shut
+		r.core.Lock()
+		defer r.core.Unlock()
+		return r.hand.disabled[id] && r.names[id].Gate.Shut()
 	}
 	must(t, young.Disable(ctx, "s-2"))
 	must(t, old.Disable(ctx, "s-3"))
@@ -112,7 +113,7 @@
 	c := r.dial(t)
 	c.in = bufio.NewReaderSize(c, 16)
 	c.send(quote("q").text())
-	wait(t, "the answer's beginning", func() bool { return pending(c.Conn) == bytesThere })
+	wait(t, "the answer's beginning", func() bool { return flow.Pending(c.Conn) == flow.BytesThere })
 	r.leave()
 	time.Sleep(acceptFor + 500*time.Millisecond) // past the last deadline
 	close(goOn)
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -69,21 +69,21 @@
 }
 
 // retune swaps the settings. Requests that were taken keep their class, and what was learnt of backends stays.
-// n.mu is held.
+// The core's lock is held.
 func (n *node) retune(set wire.Settings) {
 	s, old := newSettings(set), n.set.Load()
 	s.before, s.until = old.effects, time.Now().Add(crossTime)
 	n.set.Store(s)
-	n.pool.tune(set.ConnectTimeout, set.ConnIdle)
-	n.handle(n.clock.now(), &policy.Event{Kind: policy.EvSettings, Settings: &s.Policy})
+	n.pool.Tune(set.ConnectTimeout, set.ConnIdle)
+	n.core.Handle(&policy.Event{Kind: policy.EvSettings, Settings: &s.Policy})
 }
 
 // reload takes in a configuration that was read again: the settings, and the address of discovery. The rest belongs
 // to the process's start.
 func (n *node) reload(cfg Config) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.ctx.Err() != nil {
+	n.core.Lock()
+	defer n.core.Unlock()
+	if n.core.Context().Err() != nil {
 		return
 	}
 	table, err := cfg.contracts()
@@ -92,7 +92,7 @@
 		return
 	}
 	n.retune(cfg.Settings)
-	n.bind(table)
+	n.core.Bind(table)
 	n.log.Info("new settings are in force", "classes", len(cfg.Settings.Policy.Classes),
 		"max attempts", cfg.Settings.Policy.MaxAttempts)
 	if cfg.Discovery != n.disc.addr {
--- a/internal/node/stream_test.go
+++ b/internal/node/stream_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -11,10 +10,10 @@
 	"strings"
 	"sync/atomic"
 	"testing"
-	"testing/iotest"
 	"time"
 
 	"portstall/internal/flow"
+	"portstall/internal/message"
 )
 
 // pattern is a body of the given size in which no part looks like another.
@@ -144,8 +143,8 @@
 	t.Parallel()
 	broken := make(chan struct{})
 	b := newBox(t, func(c net.Conn, r *http.Request, _ int) bool {
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", maxBody)
-		for range maxBody >> 10 {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", message.Max)
+		for range message.Max >> 10 {
 			if _, err := io.WriteString(c, strings.Repeat("x", 1<<10)); err != nil {
 				close(broken)
 				return false
@@ -228,43 +227,18 @@
 	leaver := r.dial(t)
 	leaver.send(q.text()[:100<<10])
 	wait(t, "the request", func() bool {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		return r.requests["left"] != nil
+		r.core.Lock()
+		defer r.core.Unlock()
+		return r.core.Open()["left"] > 0
 	})
 	leaver.Close()
 	wait(t, "its end", func() bool {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		return len(r.requests) == 0
+		r.core.Lock()
+		defer r.core.Unlock()
+		return len(r.core.Open()) == 0
 	})
 	if n := len(b.requests()); n != 1 {
 		t.Errorf("the backend got %d whole requests, want 1", n)
 	}
 	allBack(t, r)
 }
-
-func TestHeads(t *testing.T) {
-	t.Parallel()
-	for _, c := range []struct {
-		text string
-		end  int
-		two  bool
-	}{
-		{"GET / HTTP/1.1\r\nHost: x\r\n\r\nrest", 27, false},
-		{"GET / HTTP/1.1\nHost: x\n\nrest", 24, false},
-		{"GET / HTTP/1.1\r\nHost: x\r\n\r", 0, false},
-		{"POST / HTTP/1.1\r\ncontent-length : 3\r\nTRANSFER-ENCODING:chunked\r\n\r\n", 66, true},
-		{"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nContent-Length: 3\r\n\r\n", 47, false},
-	} {
-		if n := headEnd([]byte(c.text), 0); n != c.end {
-			t.Errorf("%q: ends at %d, want %d", c.text, n, c.end)
-		} else if two := twoFramings([]byte(c.text[:n])); two != c.two {
-			t.Errorf("%q: two framings %v", c.text, two)
-		}
-		cl := &clientConn{in: bufio.NewReaderSize(iotest.OneByteReader(strings.NewReader(c.text)), maxHead)}
-		if head, err := cl.head(); c.end > 0 && string(head) != c.text[:c.end] || (err == nil) != (c.end > 0) {
-			t.Errorf("%q byte by byte: %q, %v", c.text, head, err)
-		}
-	}
-}
--- a/internal/node/stub_test.go
+++ b/internal/node/stub_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,6 +35,8 @@
 	ln     net.Listener
 	answer func(c net.Conn, r *http.Request, nth int) bool // false: close the connection
 
+	closed atomic.Int64 // connections that it closed
+
 	mu    sync.Mutex
 	got   []*http.Request
 	conns []net.Conn
@@ -79,7 +82,10 @@
 }
 
 func (b *box) talk(c net.Conn) {
-	defer c.Close()
+	defer func() {
+		c.Close()
+		b.closed.Add(1)
+	}()
 	in := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(in)
--- a/internal/node/tunnel.go
+++ b/internal/node/tunnel.go
@@ -1,68 +1,76 @@
 package node
 
 import (
-	"bufio"
 	"context"
 	"errors"
-	"io"
+	"fmt"
 	"net"
+	"path/filepath"
 	"syscall"
 	"time"
 
+	"portstall/internal/back"
 	"portstall/internal/config"
+	"portstall/internal/contract"
+	fronthttp "portstall/internal/front/http"
 	"portstall/internal/front/tunnel"
 )
 
-const (
-	openTime = 5 * time.Second // a client may take over asking for its tunnel
-	openMost = 64              // so many may be at it; the next waits to be accepted
-	bindTime = 10 * time.Second
-)
+// bindTime is how long a predecessor may take to give up a tunnels' address.
+const bindTime = 10 * time.Second
 
-// tunnels opens the listeners on which clients ask for tunnels. A tunnel that stands is one more of the clients'
-// connections: each request in it is read, decided, bounded and drained like any other. They end when ctx does, or a
-// successor serves.
+// tunnels opens the listeners on which clients ask for tunnels. One with HTTP inside is one more of the clients'
+// connections: each request in it is read, decided, bounded and drained like any other. An opaque one is a request itself.
+// They take no more clients when ctx ends, or a successor serves.
 func (n *node) tunnels(ctx context.Context, t *config.Tunnels) error {
 	table, err := t.Table()
 	if err != nil {
 		return err
 	}
-	for _, f := range []struct {
+	f := tunnel.NewFront(tunnel.Options{Core: n.core, Table: table, Log: n.log, Away: n.life.sendsAway, Go: n.clients.Go,
+		Take: n.clients.Take, Leave: n.clients.Leave, HTTP: n.clients.Serve,
+		Caller: func(conn net.Conn, user string) contract.Caller {
+			return fronthttp.Caller(nil, fronthttp.Address(conn), user)
+		}})
+	ctx, cancel := context.WithCancel(ctx)
+	context.AfterFunc(n.core.Context(), cancel)
+	n.core.Lock()
+	defer n.core.Unlock()
+	n.core.Go(func() {
+		select {
+		case <-ctx.Done():
+		case <-n.pair.succeeded:
+			cancel()
+		}
+	})
+	for _, l := range []struct {
 		addr string
-		read opener
+		read tunnel.Opener
 	}{{t.SOCKS5, tunnel.SOCKS5}, {t.Connect, tunnel.Connect}} {
-		if f.addr == "" {
+		if l.addr == "" {
 			continue
 		}
-		ln, err := (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp", f.addr)
+		ln, err := (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp", l.addr)
 		if err != nil && !errors.Is(err, syscall.EADDRINUSE) {
+			cancel()
 			return err
 		}
-		n.wg.Add(1)
-		go func() {
-			defer n.wg.Done()
+		n.core.Go(func() {
 			if ln == nil { // a predecessor has the address, and gives it up once this process serves
-				if ln = n.await(ctx, f.addr); ln == nil {
+				if ln = n.await(ctx, l.addr); ln == nil {
 					return
 				}
 			}
-			go func() {
-				select {
-				case <-ctx.Done():
-				case <-n.ctx.Done():
-				case <-n.pair.succeeded:
-				}
-				ln.Close()
-			}()
-			n.acceptTunnels(ln, f.read, table)
-		}()
+			context.AfterFunc(ctx, func() { ln.Close() })
+			f.Accept(ln, l.read)
+		})
 	}
 	return nil
 }
 
 // await opens a listener as soon as its address is free, or tells that it never was.
 func (n *node) await(ctx context.Context, addr string) net.Listener {
-	for end := time.Now().Add(bindTime); ctx.Err() == nil && n.ctx.Err() == nil; sleep(ctx, 50*time.Millisecond) {
+	for end := time.Now().Add(bindTime); ctx.Err() == nil; sleep(ctx, 50*time.Millisecond) {
 		ln, err := (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp", addr)
 		if err == nil {
 			return ln
@@ -75,62 +83,31 @@
 	return nil
 }
 
-type opener func(*bufio.Reader, io.Writer, *tunnel.Table) (*tunnel.Opening, error)
-
-// acceptTunnels takes in clients that ask for tunnels, until ln is closed.
-func (n *node) acceptTunnels(ln net.Listener, read opener, table *tunnel.Table) {
-	opening := make(chan struct{}, openMost)
-	for {
-		conn, err := ln.Accept()
-		switch {
-		case errors.Is(err, net.ErrClosed):
-			return
-		case err != nil: // out of descriptors, most likely
-			time.Sleep(5 * time.Millisecond)
-			continue
+// opaque checks that the classes of opaque routes are those of the settings.
+func (c *Config) opaque() error {
+	if c.Product == nil || c.Product.Tunnels == nil {
+		return nil
+	}
+	effects := newSettings(c.Settings).effects
+	for i, r := range c.Product.Tunnels.Routes {
+		if _, known := effects[r.Class]; r.Kind == "opaque" && !known {
+			return &config.FieldError{Path: fmt.Sprintf("tunnels.routes[%d].class", i), Why: fmt.Sprintf("%q is no class of the node's settings", r.Class)}
 		}
-		opening <- struct{}{}
-		n.clients.wg.Add(1)
-		go func() {
-			defer n.clients.wg.Done()
-			c := n.open(conn, read, table)
-			<-opening
-			if c != nil {
-				n.clients.welcome(c)
-			}
-		}()
 	}
+	return nil
 }
 
-// open lets a client ask for its tunnel. Nil: none stands, the client was told as far as that can be told, and the
-// connection is closed. Else a slot is held for the connection.
-func (n *node) open(conn net.Conn, read opener, t *tunnel.Table) *clientConn {
-	conn.SetDeadline(time.Now().Add(openTime))
-	in := bufio.NewReaderSize(conn, maxHead)
-	o, err := read(in, conn, t)
-	if err != nil {
-		n.log.Info("no tunnel was opened", "client", conn.RemoteAddr(), "err", err)
-		conn.Close()
+// way is how a web server is reached; nil: directly.
+func (n *node) way(id string) back.Dial {
+	if n.cfg.Product == nil || n.cfg.Product.Tunnels == nil {
 		return nil
 	}
-	room := false
-	if !n.life.sendsAway() {
-		select {
-		case n.clients.slots <- struct{}{}:
-			room = true
-		default:
+	t := n.cfg.Product.Tunnels
+	for i := range t.Proxies {
+		pattern, way, _ := t.Way(i) // it was checked before
+		if fits, _ := filepath.Match(pattern, id); fits {
+			return way.Dial
 		}
 	}
-	if !room {
-		o.Refuse()
-		conn.Close()
-		return nil
-	}
-	if o.Accept() != nil {
-		<-n.clients.slots
-		conn.Close()
-		return nil
-	}
-	conn.SetDeadline(time.Time{})
-	return &clientConn{Conn: conn, start: time.Now(), in: in, user: o.User}
+	return nil
 }
--- a/internal/node/tunnel_test.go
+++ b/internal/node/tunnel_test.go
@@ -13,6 +13,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"portstall/internal/message"
 )
 
 // free is an address on which nothing listens.
@@ -132,8 +134,8 @@
 	c, _ := through(t, connect, connectOpening("secret"), 0)
 	c.ask(view("a"))
 	c.send(with(view("b"), "Proxy-User: boss"))
-	if resp, _ := c.answer(); resp.StatusCode != 429 || !strings.Contains(resp.Header.Get(refusalHeader), `"centre"`) {
-		t.Errorf("a tunnelled client that says it is boss: %d %q", resp.StatusCode, resp.Header.Get(refusalHeader))
+	if resp, _ := c.answer(); resp.StatusCode != 429 || !strings.Contains(resp.Header.Get(message.RefusalHeader), `"centre"`) {
+		t.Errorf("a tunnelled client that says it is boss: %d %q", resp.StatusCode, resp.Header.Get(message.RefusalHeader))
 	}
 }
 
