The lab plays tunnels: clients by SOCKS5 and CONNECT, servers behind proxies, and their faults

Scenarios say how clients come (clients.via) and how servers are reached (servers.via); proxies die, slow down and talk nonsense. Stand-in proxies from the RFCs in internal/lab/standin.

--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -94,13 +94,15 @@
 
 // Trouble is what the faults in force do to one server.
 type Trouble struct {
-	Slow    float64 // how much slower
-	Part    float64 // of its requests it is
-	Errors  float64 // share of requests answered with an error at once,
-	Resets  float64 // with a broken connection at once,
-	Cuts    float64 // and with half an answer
-	Lie     float64 // reports its queue times this
-	Backlog bool    // accepts no new connections
+	Slow    float64       // how much slower
+	Part    float64       // of its requests it is
+	Errors  float64       // share of requests answered with an error at once,
+	Resets  float64       // with a broken connection at once,
+	Cuts    float64       // and with half an answer
+	Lie     float64       // reports its queue times this
+	Backlog bool          // accepts no new connections
+	NoWay   bool          // the proxy before it opens none
+	WayLag  time.Duration // or takes so much longer over it
 }
 
 // Weather is what they do to all.
@@ -133,7 +135,7 @@
 			w.Storm *= f.Factor
 		case "cut":
 			w.Cuts++
-		case "error", "slow", "reset", "cut_answer", "report_lie", "backlog":
+		case "error", "slow", "reset", "cut_answer", "report_lie", "backlog", "proxy_down", "proxy_slow", "proxy_nonsense":
 			for _, k := range hits[i] {
 				troubles[k].take(f)
 			}
@@ -156,6 +158,10 @@
 		t.Lie = f.Factor
 	case "backlog":
 		t.Backlog = true
+	case "proxy_down", "proxy_nonsense":
+		t.NoWay = true
+	case "proxy_slow":
+		t.WayLag = max(t.WayLag, f.Delay)
 	}
 }
 
--- a/internal/lab/model/fault.go
+++ b/internal/lab/model/fault.go
@@ -61,6 +61,16 @@
 				}
 			}
 		}
+	case "proxy_down":
+		w.effects()
+		for _, k := range w.hits[i] {
+			if v := w.servers[k]; begin && v.up && !v.silent {
+				v.note(w)
+				w.breakAll(v)
+				v.queue, v.work = nil, nil // it sees the connections end, and gives up
+				v.schedule(w)
+			}
+		}
 	case "roster_down":
 		w.rosterDown(begin)
 	default:
--- a/internal/lab/model/node.go
+++ b/internal/lab/model/node.go
@@ -354,9 +354,12 @@
 	case !v.up: // refused
 		w.at(w.now+2*way, fail)
 		j.noConn = true
-	case !reachable || v.trouble.Backlog:
+	case !reachable || v.trouble.Backlog || v.trouble.WayLag >= c.ConnectTimeout:
 		w.at(w.now+min(max(0, wait), c.ConnectTimeout), fail)
 		j.noConn = true
+	case v.trouble.NoWay: // the proxy refuses, or what it says is taken for that
+		w.at(w.now+2*way, fail)
+		j.noConn = true
 	case v.conns >= c.CapPerCore*v.Kind.Cores && !w.prune(v):
 		w.at(w.now+2*way, fail)
 		j.noConn = true
@@ -364,10 +367,13 @@
 		n.open[v.index]++
 		v.conns++
 		j.left += c.HandshakeWork.Seconds()
-		w.at(w.now+way+time.Duration(2*c.HandshakeRTTs)*way, event{kind: evReach, job: j})
+		w.at(w.now+way+time.Duration(2*(c.HandshakeRTTs+roundTrips[w.s.Servers.Via]))*way+v.trouble.WayLag, event{kind: evReach, job: j})
 	}
 }
 
+// roundTrips is what a proxy's own handshake takes: SOCKS5 greets first.
+var roundTrips = map[string]int{"connect": 1, "socks5": 2}
+
 // expire drops a node's idle connections to a server that have stood for too long, and gives those that are left.
 func (w *world) expire(n *node, v *server) []time.Duration {
 	idle := n.idle[v.index]
--- a/internal/lab/rig/client.go
+++ b/internal/lab/rig/client.go
@@ -14,15 +14,30 @@
 	"sync/atomic"
 	"time"
 
+	"portstall/internal/back/tunnel"
 	"portstall/internal/lab/fleet"
 	"portstall/internal/lab/measure"
 	"portstall/internal/lab/scenario"
 )
 
-// newClient keeps the connections of clients to one node.
-func newClient() *http.Client {
+// routeName is what clients that come through tunnels ask for.
+const routeName = "placement.example.org"
+
+// newClient keeps the connections of clients to one node, or to its address for tunnels where they come via one.
+func newClient(via, tunnels string) *http.Client {
+	dialer := &net.Dialer{Timeout: time.Second}
+	dial := dialer.DialContext
+	if via != "" {
+		way := tunnel.Proxy{Kind: tunnel.SOCKS5, Addr: tunnels}
+		if via == "connect" {
+			way.Kind = tunnel.Connect
+		}
+		dial = func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return way.Dial(ctx, dialer, routeName+":80")
+		}
+	}
 	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512, IdleConnTimeout: 5 * time.Second, DisableCompression: true,
-		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}
+		DialContext: dial}}
 }
 
 // verdict is how one try ended.
--- a/internal/lab/rig/fault.go
+++ b/internal/lab/rig/fault.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"portstall/internal/lab/fleet"
+	"portstall/internal/lab/standin"
 )
 
 // fault lets a fault begin or end.
@@ -94,6 +95,20 @@
 				r.mu.Unlock()
 			}
 		}
+	case "proxy_down":
+		if begin {
+			r.proxies[0].Stop()
+		} else {
+			r.fail(r.proxies[0].Start())
+		}
+	case "proxy_nonsense", "proxy_slow":
+		wrong, delay := standin.Nothing, time.Duration(0)
+		if begin && f.Kind == "proxy_slow" {
+			delay = f.Delay
+		} else if begin {
+			wrong = standin.Nonsense
+		}
+		r.proxies[0].Trouble(wrong, delay)
 	case "roster_down":
 		r.roster.setDown(begin)
 	default:
--- a/internal/lab/rig/load.go
+++ b/internal/lab/rig/load.go
@@ -27,7 +27,7 @@
 	r := &rig{s: &s, opt: Options{Slack: Slack}, ctx: ctx, begun: time.Now(), weather: fleet.Weather{Slowdown: 1, Storm: 1}, dead: true, // records nothing
 		rec: measure.New(s.Warmup, s.Duration)}
 	for i, a := range addrs {
-		n := &node{rig: r, index: i, addr: a, client: newClient(), up: true, seen: true}
+		n := &node{rig: r, index: i, addr: a, client: newClient("", ""), up: true, seen: true}
 		defer n.client.CloseIdleConnections()
 		r.nodes = append(r.nodes, n)
 	}
--- a/internal/lab/rig/node.go
+++ b/internal/lab/rig/node.go
@@ -16,14 +16,17 @@
 	"time"
 
 	"github.com/goccy/go-yaml"
+
+	"portstall/internal/config"
 )
 
 // node is one real node, as a process.
 type node struct {
-	rig    *rig
-	index  int
-	addr   string
-	client *http.Client
+	rig     *rig
+	index   int
+	addr    string
+	client  *http.Client
+	tunnels string // where clients ask for tunnels; empty: they don't
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
@@ -66,9 +69,9 @@
 	}
 	cmd := exec.Command(rig.opt.Binary, "node")
 	cmd.Env = append(os.Environ(), "GW_CONFIG="+path, "TMPDIR="+rig.dir)
-	if len(rig.s.File.Contracts) > 0 {
-		own := filepath.Join(rig.dir, "portstall.yaml")
-		text, err := yaml.Marshal(rig.s.File)
+	if file := n.file(); len(file.Contracts) > 0 || file.Tunnels != nil {
+		own := filepath.Join(rig.dir, fmt.Sprintf("portstall%d.yaml", n.index))
+		text, err := yaml.Marshal(file)
 		if err != nil {
 			return err
 		}
@@ -114,6 +117,39 @@
 	return nil
 }
 
+// file is the node's own file: the scenario's, with the addresses of this run.
+func (n *node) file() config.File {
+	s, file := n.rig.s, n.rig.s.File
+	if n.tunnels == "" && s.Servers.Via == "" {
+		return file
+	}
+	if len(file.Services) == 0 {
+		file.Services = []config.Service{{Name: "placement"}}
+	}
+	t := &config.Tunnels{}
+	switch s.Clients.Via {
+	case "socks5":
+		t.SOCKS5 = n.tunnels
+	case "connect":
+		t.Connect = n.tunnels
+	}
+	t.Routes = []config.Route{{Host: routeName, Port: 80, Service: file.Services[0].Name}}
+	for i, v := range n.rig.servers {
+		if s.Servers.Via == "" {
+			break
+		}
+		p := config.Proxy{Servers: fmt.Sprintf("s-%d", v.ID), User: "node", Password: "node"}
+		if addr := n.rig.proxies[i%2].Addr(); s.Servers.Via == "socks5" {
+			p.SOCKS5 = addr
+		} else {
+			p.Connect = addr
+		}
+		t.Proxies = append(t.Proxies, p)
+	}
+	file.Tunnels = t
+	return file
+}
+
 // syncWriter keeps the end of what a node logs.
 type syncWriter struct{ n *node }
 
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -19,6 +19,7 @@
 	"portstall/internal/lab/fleet"
 	"portstall/internal/lab/measure"
 	"portstall/internal/lab/scenario"
+	"portstall/internal/lab/standin"
 )
 
 // Slack is added to the rules' time limits: what is seen from outside crosses sockets and goroutines.
@@ -42,6 +43,7 @@
 	begun   time.Time
 	servers []*server
 	nodes   []*node
+	proxies []*standin.Proxy // before every other server each; none: servers are reached directly
 	roster  roster
 	hits    [][]int
 	wg      sync.WaitGroup
@@ -112,7 +114,23 @@
 		if err != nil {
 			return err
 		}
-		r.nodes = append(r.nodes, &node{rig: r, index: i, addr: addr, client: newClient()})
+		n := &node{rig: r, index: i, addr: addr}
+		if r.s.Clients.Via != "" {
+			if n.tunnels, err = freeAddr(); err != nil {
+				return err
+			}
+		}
+		n.client = newClient(r.s.Clients.Via, n.tunnels)
+		r.nodes = append(r.nodes, n)
+	}
+	if via := r.s.Servers.Via; via != "" {
+		for range 2 {
+			p := &standin.Proxy{SOCKS5: via == "socks5", User: "node", Password: "node"}
+			r.proxies = append(r.proxies, p)
+			if err := p.Start(); err != nil {
+				return err
+			}
+		}
 	}
 	errs := make(chan error, len(r.nodes))
 	for _, n := range r.nodes {
@@ -237,6 +255,9 @@
 		n.kill()
 		n.client.CloseIdleConnections()
 	}
+	for _, p := range r.proxies {
+		p.Stop()
+	}
 	if r.roster.end != nil {
 		r.roster.stop()
 	}
--- a/internal/lab/rig/rig_test.go
+++ b/internal/lab/rig/rig_test.go
@@ -116,3 +116,47 @@
 		t.Errorf("a thousand servers: %v", err)
 	}
 }
+
+// Every way in and every way to the servers, with what can go wrong on either: the rules are kept, and most are served. A
+// tunnelled client gets through no repeat that a plain one does not, and behind a proxy in trouble nothing runs twice.
+func TestWaysInAndOut(t *testing.T) {
+	ms := time.Millisecond
+	for _, front := range []string{"", "socks5", "connect"} {
+		for _, back := range []string{"", "socks5", "connect"} {
+			t.Run("clients "+front+" servers "+back, func(t *testing.T) {
+				t.Parallel()
+				s := scenario.Default()
+				s.Name, s.Duration, s.Warmup, s.Servers.Count, s.Clients.Rate = "ways", 6*time.Second, 0, 8, 25
+				s.Clients.Via, s.Servers.Via = front, back
+				s.Faults = []scenario.Fault{
+					{Kind: "error", At: 300 * ms, For: 700 * ms, Share: 0.25, Part: 0.5},
+					{Kind: "reset", At: 300 * ms, For: 700 * ms, Share: 0.25, Part: 0.5},
+					{Kind: "cut_answer", At: 800 * ms, For: 500 * ms, Share: 0.5, Part: 0.5},
+					{Kind: "vanish", At: 1500 * ms, For: time.Second, Share: 0.25},
+					{Kind: "crash", At: 2500 * ms, For: 500 * ms, Share: 0.25},
+					{Kind: "drain", At: 3 * time.Second, For: 1500 * ms, Share: 0.25},
+					{Kind: "node_roll", At: 5 * time.Second, For: 500 * ms, Share: 0.5, Delay: 200 * ms},
+				}
+				if back != "" {
+					s.Faults = append(s.Faults,
+						scenario.Fault{Kind: "proxy_down", At: 1200 * ms, For: 300 * ms},
+						scenario.Fault{Kind: "proxy_nonsense", At: 2 * time.Second, For: 500 * ms},
+						scenario.Fault{Kind: "proxy_slow", At: 3500 * ms, For: 500 * ms, Delay: 300 * ms})
+				}
+				r := play(t, s)
+				t.Logf("%v %v", r.Endings, r.Causes)
+				if r.All.Served < r.All.Asked/2 {
+					t.Errorf("only %d of %d were served: %v", r.All.Served, r.All.Asked, r.Causes)
+				}
+				m, err := model.Run(s, model.Options{Make: model.Portstall})
+				if err != nil {
+					t.Fatal(err)
+				}
+				if m.BrokenTotal() > 0 {
+					t.Errorf("model: %v\n%s", m.Broken, strings.Join(m.Breaches, "\n"))
+				}
+				t.Logf("rig %.3f in time, model %.3f", r.All.Share(), m.All.Share())
+			})
+		}
+	}
+}
--- a/internal/lab/scenario/draw.go
+++ b/internal/lab/scenario/draw.go
@@ -64,6 +64,10 @@
 					hit = append(hit, k)
 				}
 			}
+		case "proxy_down", "proxy_slow", "proxy_nonsense":
+			for k := 0; k < len(fleet); k += 2 {
+				hit = append(hit, k)
+			}
 		default:
 			hit = s.Hit(i, len(fleet), f.Share)
 		}
--- a/internal/lab/scenario/fault.go
+++ b/internal/lab/scenario/fault.go
@@ -39,27 +39,30 @@
 
 // Kinds is the vocabulary that model and rig share. What a kind does when it begins and ends stands beside it.
 var Kinds = map[string]Use{
-	"vanish":      {About: "servers go silent: nothing is reset or answered; they come back cold", Share: true, Rig: true},
-	"crash":       {About: "server processes die: connections are reset, new ones refused; they come back cold", Share: true, Rig: true},
-	"cold":        {About: "servers restart in an instant and are cold", Share: true, Instant: true, Rig: true},
-	"drain":       {About: "servers are told to finish, restart after the fault's length and are cold", Share: true, Rig: true},
-	"error":       {About: "gray: servers answer a part of their requests with an error at once", Share: true, Part: true, Rig: true},
-	"slow":        {About: "gray: servers take a multiple of the time for a part of their requests", Share: true, Part: true, Factor: true, Rig: true},
-	"reset":       {About: "gray: servers break the connection instead of answering a part of their requests", Share: true, Part: true, Rig: true},
-	"cut_answer":  {About: "gray: servers break off in the middle of a part of their answers", Share: true, Part: true, Rig: true},
-	"backlog":     {About: "servers accept no new connections; those that stand go on", Share: true, Rig: true},
-	"report_lag":  {About: "load reports are older by the delay", Delay: true, Rig: true},
-	"report_lie":  {About: "servers report their queue times the factor", Share: true, Factor: true, Rig: true},
-	"heavy":       {About: "a part of the requests is heavier by the factor", Part: true, Factor: true, Rig: true},
-	"roster_down": {About: "the roster answers nothing and ends its watches", Rig: true},
-	"node_roll":   {About: "nodes are restarted one after the other over the fault's length; each is gone for the delay", Share: true, Delay: true, Rig: true},
-	"node_crash":  {About: "nodes are killed and come back after the fault's length with their last list", Share: true, Rig: true},
-	"node_stop":   {About: "nodes are stopped (SIGSTOP) and go on after the fault's length", Share: true, Rig: true},
-	"shared_slow": {About: "every server is slower by the factor", Factor: true, Rig: true},
-	"cut":         {About: "a share of the nodes does not reach a share of the servers; nothing is reset", Share: true, Nodes: true},
-	"flash":       {About: "a flash crowd: arrivals times the factor", Factor: true, Rig: true},
-	"storm":       {About: "clients try factor times more often, almost without waiting", Factor: true, Rig: true},
-	"zone_loss":   {About: "all servers of one zone go silent; they come back cold", Rig: true},
+	"vanish":         {About: "servers go silent: nothing is reset or answered; they come back cold", Share: true, Rig: true},
+	"crash":          {About: "server processes die: connections are reset, new ones refused; they come back cold", Share: true, Rig: true},
+	"cold":           {About: "servers restart in an instant and are cold", Share: true, Instant: true, Rig: true},
+	"drain":          {About: "servers are told to finish, restart after the fault's length and are cold", Share: true, Rig: true},
+	"error":          {About: "gray: servers answer a part of their requests with an error at once", Share: true, Part: true, Rig: true},
+	"slow":           {About: "gray: servers take a multiple of the time for a part of their requests", Share: true, Part: true, Factor: true, Rig: true},
+	"reset":          {About: "gray: servers break the connection instead of answering a part of their requests", Share: true, Part: true, Rig: true},
+	"cut_answer":     {About: "gray: servers break off in the middle of a part of their answers", Share: true, Part: true, Rig: true},
+	"backlog":        {About: "servers accept no new connections; those that stand go on", Share: true, Rig: true},
+	"report_lag":     {About: "load reports are older by the delay", Delay: true, Rig: true},
+	"report_lie":     {About: "servers report their queue times the factor", Share: true, Factor: true, Rig: true},
+	"heavy":          {About: "a part of the requests is heavier by the factor", Part: true, Factor: true, Rig: true},
+	"roster_down":    {About: "the roster answers nothing and ends its watches", Rig: true},
+	"node_roll":      {About: "nodes are restarted one after the other over the fault's length; each is gone for the delay", Share: true, Delay: true, Rig: true},
+	"node_crash":     {About: "nodes are killed and come back after the fault's length with their last list", Share: true, Rig: true},
+	"node_stop":      {About: "nodes are stopped (SIGSTOP) and go on after the fault's length", Share: true, Rig: true},
+	"shared_slow":    {About: "every server is slower by the factor", Factor: true, Rig: true},
+	"cut":            {About: "a share of the nodes does not reach a share of the servers; nothing is reset", Share: true, Nodes: true},
+	"flash":          {About: "a flash crowd: arrivals times the factor", Factor: true, Rig: true},
+	"storm":          {About: "clients try factor times more often, almost without waiting", Factor: true, Rig: true},
+	"proxy_down":     {About: "the first proxy before the servers dies: its connections are reset, new ones refused", Rig: true},
+	"proxy_slow":     {About: "the first proxy before the servers takes the delay to open a connection", Delay: true, Rig: true},
+	"proxy_nonsense": {About: "the first proxy before the servers answers what no proxy does; connections that stand go on", Rig: true},
+	"zone_loss":      {About: "all servers of one zone go silent; they come back cold", Rig: true},
 }
 
 // Draw gives a scenario the faults that a seed stands for: a few of any kind but the loss of a zone, which may overlap. The same scenario and
@@ -67,7 +70,7 @@
 func Draw(s Scenario, seed uint64) Scenario {
 	rng := rand.New(rand.NewPCG(seed, 0x64726177))
 	span := s.Duration - s.Warmup
-	kinds := slices.DeleteFunc(KindNames(), func(kind string) bool { return kind == "zone_loss" }) // it may be the only zone
+	kinds := slices.DeleteFunc(KindNames(), func(kind string) bool { return kind == "zone_loss" || ofProxies(kind) && s.Servers.Via == "" }) // it may be the only zone
 	s.Seed, s.Faults = seed, nil
 	for range 2 + rng.IntN(4) {
 		f := Fault{Kind: kinds[rng.IntN(len(kinds))]}
@@ -97,6 +100,9 @@
 	return s
 }
 
+// ofProxies tells whether a kind is about the proxies before the servers.
+func ofProxies(kind string) bool { return strings.HasPrefix(kind, "proxy_") }
+
 // KindNames lists all kinds in alphabetical order.
 func KindNames() []string { return Sorted(Kinds) }
 
--- a/internal/lab/scenario/parse.go
+++ b/internal/lab/scenario/parse.go
@@ -110,6 +110,8 @@
 	v := &s.Servers
 	count("servers.count", v.Count, 1, 10000)
 	count("servers.zones", v.Zones, 1, 20)
+	word("servers.via", v.Via, "", "socks5", "connect")
+	word("clients.via", s.Clients.Via, "", "socks5", "connect")
 	count("servers.pod_size", v.PodSize, 0, 10000)
 	if len(v.Kinds) == 0 {
 		bad("servers.kinds", "at least one is needed")
@@ -256,6 +258,9 @@
 		if f.Tenant != "" && !tenants[f.Tenant] {
 			bad(p+"tenant", "%q is no tenant of this scenario", f.Tenant)
 		}
+		if ofProxies(f.Kind) && v.Via == "" {
+			bad(p+"kind", "%s is for scenarios whose servers are reached by way of proxies (servers.via)", f.Kind)
+		}
 		if f.Kind == "zone_loss" {
 			count(p+"zone", f.Zone, 0, v.Zones-1)
 		}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -42,6 +42,7 @@
 	Connections Connections `yaml:"connections"`
 	Choke       Choke       `yaml:"choke"`
 	Reports     Reports     `yaml:"reports"`
+	Via         string      `yaml:"via"` // socks5 or connect: two proxies stand before them, each before every other one; none: reached directly
 }
 
 // Kind is a sort of machine.
@@ -109,6 +110,7 @@
 
 // Clients is the load. Arrivals don't wait for answers.
 type Clients struct {
+	Via         string        `yaml:"via"`         // socks5 or connect: they come through tunnels; in the model that costs nothing
 	Arrivals    string        `yaml:"arrivals"`    // poisson, constant or bursty
 	Burstiness  float64       `yaml:"burstiness"`  // bursty: coefficient of variation of the gaps
 	Load        float64       `yaml:"load"`        // offered work as a part of what the warm fleet can do
--- /dev/null
+++ b/internal/lab/standin/proxy.go
@@ -0,0 +1,256 @@
+// Package standin holds stand-ins for outside systems that both the rig and the tests use, each written from its public
+// specification.
+package standin
+
+import (
+	"bufio"
+	"encoding/base64"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Proxy is a SOCKS5 (RFC 1928, RFC 1929) or CONNECT (RFC 9110, 9.3.6) proxy on loopback, with switches for what can be
+// wrong with one. Safe for concurrent use.
+type Proxy struct {
+	SOCKS5   bool   // else CONNECT
+	User     string // empty: nobody is asked
+	Password string
+
+	mu     sync.Mutex
+	addr   string
+	ln     net.Listener
+	wg     sync.WaitGroup
+	conns  map[net.Conn]struct{}
+	wrong  Wrong
+	delay  time.Duration
+	dialed int
+}
+
+// Wrong is what is the matter with a proxy.
+type Wrong uint8
+
+const (
+	Nothing  Wrong = iota
+	Nonsense       // it answers what no proxy answers
+	Refuses        // every server, in its protocol's words
+	Silent         // it accepts and says nothing
+)
+
+// Start opens the proxy, at the same address each time.
+func (p *Proxy) Start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ln != nil {
+		return nil
+	}
+	addr := p.addr
+	if addr == "" {
+		addr = "127.0.0.1:0"
+	}
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	p.addr, p.ln, p.conns = ln.Addr().String(), ln, map[net.Conn]struct{}{}
+	p.wg.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			if !p.keep(c) {
+				return
+			}
+			p.wg.Go(func() {
+				defer p.drop(c)
+				p.serve(c)
+			})
+		}
+	})
+	return nil
+}
+
+// Addr is where it listens, or did.
+func (p *Proxy) Addr() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.addr
+}
+
+// Stop ends the proxy as its process's death would: all its connections break.
+func (p *Proxy) Stop() {
+	p.mu.Lock()
+	if p.ln != nil {
+		p.ln.Close()
+		p.ln = nil
+	}
+	for c := range p.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			t.SetLinger(0)
+		}
+		c.Close()
+	}
+	p.mu.Unlock()
+	p.wg.Wait()
+}
+
+// Trouble sets what is wrong from now on, and how long each client waits for its tunnel.
+func (p *Proxy) Trouble(w Wrong, delay time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wrong, p.delay = w, delay
+}
+
+// Dialed counts the connections to servers.
+func (p *Proxy) Dialed() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dialed
+}
+
+func (p *Proxy) keep(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ln == nil {
+		c.Close()
+		return false
+	}
+	p.conns[c] = struct{}{}
+	return true
+}
+
+func (p *Proxy) drop(c net.Conn) {
+	c.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, c)
+}
+
+// serve takes one client to its server.
+func (p *Proxy) serve(c net.Conn) {
+	p.mu.Lock()
+	wrong, delay := p.wrong, p.delay
+	p.mu.Unlock()
+	in := bufio.NewReader(c)
+	ask, refuse := p.connect, "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n"
+	stands := "HTTP/1.1 200 OK\r\nServer: stand-in\r\n\r\n"
+	if p.SOCKS5 {
+		ask, refuse, stands = p.socks5, "\x05\x05\x00\x01\x00\x00\x00\x00\x00\x00", "\x05\x00\x00\x01\x7f\x00\x00\x01\x00\x01"
+	}
+	if wrong == Nonsense {
+		io.WriteString(c, "220 what would you like to send?\r\n\r\n")
+		return
+	}
+	if wrong == Silent {
+		in.ReadByte()
+		io.Copy(io.Discard, in)
+		return
+	}
+	addr, err := ask(in, c)
+	if err != nil {
+		return
+	}
+	time.Sleep(delay)
+	if wrong == Refuses {
+		io.WriteString(c, refuse)
+		return
+	}
+	server, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		io.WriteString(c, refuse)
+		return
+	}
+	if !p.keep(server) {
+		return
+	}
+	defer p.drop(server)
+	p.mu.Lock()
+	p.dialed++
+	p.mu.Unlock()
+	if _, err := io.WriteString(c, stands); err != nil {
+		return
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { half(server, in, server) })
+	half(c, server, c)
+	wg.Wait()
+}
+
+// half copies one direction to its end. Where it breaks, so does all.
+func half(dst net.Conn, src io.Reader, both net.Conn) {
+	if _, err := io.Copy(dst, src); err != nil {
+		both.Close()
+	}
+	if t, ok := dst.(*net.TCPConn); ok {
+		t.CloseWrite()
+	}
+}
+
+var errAsked = errors.New("not what a client of this proxy asks")
+
+func (p *Proxy) connect(in *bufio.Reader, out io.Writer) (string, error) {
+	req, err := http.ReadRequest(in)
+	if err != nil || req.Method != http.MethodConnect {
+		io.WriteString(out, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n")
+		return "", errAsked
+	}
+	want := "Basic " + base64.StdEncoding.EncodeToString([]byte(p.User+":"+p.Password))
+	if p.User != "" && req.Header.Get("Proxy-Authorization") != want {
+		io.WriteString(out, "HTTP/1.1 407 Proxy Authentication Required\r\nContent-Length: 0\r\n\r\n")
+		return "", errAsked
+	}
+	return req.Host, nil
+}
+
+func (p *Proxy) socks5(in *bufio.Reader, out io.Writer) (string, error) {
+	read := func(n int) []byte {
+		b := make([]byte, n)
+		if _, err := io.ReadFull(in, b); err != nil {
+			return make([]byte, n) // noughts are no version of anything
+		}
+		return b
+	}
+	head := read(2)
+	methods := string(read(int(head[1])))
+	method := byte(0)
+	if p.User != "" {
+		method = 2
+	}
+	if head[0] != 5 || !strings.ContainsRune(methods, rune(method)) {
+		out.Write([]byte{5, 0xff})
+		return "", errAsked
+	}
+	out.Write([]byte{5, method})
+	if method == 2 {
+		read(1)
+		user := string(read(int(read(1)[0])))
+		password := string(read(int(read(1)[0])))
+		if user != p.User || password != p.Password {
+			out.Write([]byte{1, 1})
+			return "", errAsked
+		}
+		out.Write([]byte{1, 0})
+	}
+	req := read(4)
+	host := ""
+	switch req[3] {
+	case 1, 4:
+		a, _ := netip.AddrFromSlice(read(int(req[3]) * 4))
+		host = a.String()
+	case 3:
+		host = string(read(int(read(1)[0])))
+	}
+	port := binary.BigEndian.Uint16(read(2))
+	if req[0] != 5 || req[1] != 1 || host == "" {
+		return "", errAsked
+	}
+	return net.JoinHostPort(host, fmt.Sprint(port)), nil
+}
