--- a/internal/back/tunnel/opaque.go
+++ b/internal/back/tunnel/opaque.go
@@ -6,11 +6,12 @@
 	"errors"
 	"io"
 	"net"
-	"os"
 	"sync"
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"portstall/internal/back"
 	"portstall/internal/core"
 	"portstall/internal/message"
@@ -32,13 +33,9 @@
 	Closing  Cause = "closing"  // the node ended
 )
 
-const (
-	// chunk is passed on at most before it is looked at again whether the tunnel may go on. A reader that takes less in the
-	// idle limit counts as one that takes nothing.
-	chunk = 256 << 10
-	// busy is how long a direction in which bytes have come waits for more before it lets go of its pipe.
-	busy = 100 * time.Millisecond
-)
+// chunk is passed on at most before it is looked at again whether the tunnel may go on. A reader that takes less in the
+// idle limit counts as one that takes nothing.
+const chunk = 256 << 10
 
 // Back opens opaque tunnels and knows those that stand. It is safe for concurrent use.
 type Back struct {
@@ -99,8 +96,12 @@
 	t := &Tunnel{back: b, request: a.Request, stream: a.Request.Message.(*message.Stream), server: server, conn: conn,
 		opened: time.Now(), over: make(chan struct{})}
 	t.up, t.down = t.opened, t.opened
+	soonest := min(t.stream.Limits.Idle, t.stream.Limits.Total)
+	if stall := t.stream.Limits.Stall; stall > 0 {
+		soonest = min(soonest, stall)
+	}
 	t.mu.Lock()
-	t.timer = time.AfterFunc(min(t.stream.Limits.Idle, t.stream.Limits.Total), t.look)
+	t.timer = time.AfterFunc(soonest, t.look)
 	t.mu.Unlock()
 	// Behind the gate it is known to whoever ends the tunnels of a server that drains, or it does not come to stand.
 	err = server.Pass(func() error {
@@ -288,19 +289,18 @@
 		}
 	}
 	for {
-		// While nothing comes, no pipe and no buffer is held.
-		if err := readable(src); err != nil {
+		// While nothing comes, no pipe and no buffer is held, and what has come is passed on without waiting for more.
+		there, err := readable(src)
+		if err != nil {
 			t.end(broken(true))
 			return
 		}
-		src.SetReadDeadline(time.Now().Add(busy))
-		n, err := io.CopyN(dst, src, chunk) // by splice, where both are TCP
-		src.SetReadDeadline(time.Time{})
+		n, err := io.CopyN(dst, src, int64(min(max(there, 1), chunk))) // by splice, where both are TCP
 		if t.moved(int(n), up) != nil {
 			return
 		}
 		switch {
-		case err == nil, errors.Is(err, os.ErrDeadlineExceeded):
+		case err == nil:
 			continue
 		case !errors.Is(err, io.EOF):
 			t.end(broken(!errors.Is(err, syscall.EPIPE) && !isWrite(err)))
@@ -358,19 +358,25 @@
 	}
 }
 
-// readable waits until a connection has bytes, or its end, to be read.
-func readable(c net.Conn) error {
+// readable waits until a connection has bytes, or its end, to be read, and tells how many there are; none: it is the end.
+func readable(c net.Conn) (there int, err error) {
 	s, ok := c.(syscall.Conn)
 	if !ok {
-		return nil // the copy waits
+		return 0, nil // the copy waits, byte by byte
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return err
+		return 0, err
 	}
-	return raw.Read(func(fd uintptr) bool {
+	var broke error
+	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return err != syscall.EAGAIN
+		_, _, broke = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if broke == syscall.EAGAIN {
+			return false
+		}
+		there, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ)
+		return true
 	})
+	return there, errors.Join(err, broke) // the socket tells of its error once
 }
