Opaque tunnels as traffic of the lab, in the model and on the rig, with a rule for their drain

Classes may stand: their asks are tunnels that the model and the rig open, hold and count at their servers. The books know a new breach, a tunnel that outlives its server's drain.

--- a/internal/back/tunnel/proxy.go
+++ b/internal/back/tunnel/proxy.go
@@ -84,11 +84,16 @@
 		return fmt.Errorf("its answer: %w", err)
 	}
 	if resp.StatusCode/100 != 2 { // any 2xx means that the tunnel stands, and that there is no body
-		return fmt.Errorf("it answers %d", resp.StatusCode)
+		return Refusal{resp.StatusCode}
 	}
 	return nil
 }
 
+// Refusal is a CONNECT proxy's answer that is no success.
+type Refusal struct{ Status int }
+
+func (r Refusal) Error() string { return fmt.Sprintf("it answers %d", r.Status) }
+
 // byteByByte reads no more than is asked for, whatever buffer it is asked with.
 type byteByByte struct{ io.LimitedReader }
 
--- /dev/null
+++ b/internal/front/http/fuzz_test.go
@@ -0,0 +1,98 @@
+package http
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	stdhttp "net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"portstall/internal/core"
+	"portstall/internal/flow"
+	"portstall/policy"
+)
+
+// canned is a client that has said all it ever will.
+type canned struct {
+	io.Reader
+	told bytes.Buffer
+}
+
+func (c *canned) Write(p []byte) (int, error)      { return c.told.Write(p) }
+func (c *canned) Close() error                     { return nil }
+func (c *canned) LocalAddr() net.Addr              { return &net.TCPAddr{} }
+func (c *canned) RemoteAddr() net.Addr             { return &net.TCPAddr{} }
+func (c *canned) SetDeadline(time.Time) error      { return nil }
+func (c *canned) SetReadDeadline(time.Time) error  { return nil }
+func (c *canned) SetWriteDeadline(time.Time) error { return nil }
+
+type still struct{}
+
+func (still) Now() time.Duration                                     { return 1 }
+func (still) AfterFunc(time.Duration, func())                        {}
+func (still) Server(uint32) (any, bool)                              { return nil, false }
+func (still) Watch()                                                 {}
+func (still) Fetch()                                                 {}
+func (still) Attempt(context.Context, *core.Attempt) (r core.Result) { return r }
+
+// Whatever a client says, in one piece or many: each request that is read has one framing, an id, a time and a body of the
+// length it told; nothing panics, and the budget of bodies is whole again.
+func FuzzRequests(f *testing.F) {
+	const good = "POST /api HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\nX-Class: save\r\nX-Deadline: 900m\r\n"
+	f.Add([]byte(good+"Content-Length: 3\r\n\r\nabcGET / HTTP/1.1\r\n\r\n"), 1)
+	f.Add([]byte(good+"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"), 7)
+	f.Add([]byte(good+"Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n"), 50)
+	f.Add([]byte(good+"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"), 50)
+	f.Add([]byte("\r\n\n"+good+"Expect: 100-continue\r\nContent-Length: 0\r\n\r\n"), 3)
+	f.Add([]byte("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"), 9)
+	f.Add([]byte("CONNECT a:1 HTTP/1.1\r\nHost : a\r\n\r\n"), 2)
+	c, err := core.New(policy.Settings{Nodes: 1, MaxAttempts: 1, Classes: []policy.Class{{Name: "save", Aim: 1, Deadline: 1}}}, 1,
+		core.Options{Clock: still{}, Back: still{}, Roster: still{}, Log: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Fuzz(func(t *testing.T, text []byte, piece int) {
+		budget := flow.NewBudget(1 << 20)
+		s := New(Options{Core: c, Budget: budget, Limit: 1, Away: func() bool { return false }, Ready: func() int { return 200 },
+			Fits: func(*stdhttp.Request) error { return nil }})
+		sock := &canned{Reader: pieces{bytes.NewReader(text), max(1, piece&0xff)}}
+		k := &conn{Conn: sock, start: time.Now(), in: bufio.NewReaderSize(sock, HeadSize)}
+		for range 8 {
+			r, no := s.read(k)
+			if r == nil || no != nil {
+				if r != nil {
+					t.Error("a request that is rejected too")
+				}
+				break
+			}
+			if r.in.ContentLength >= 0 && len(r.in.TransferEncoding) > 0 {
+				t.Errorf("two framings: %v %v", r.in.ContentLength, r.in.TransferEncoding)
+			}
+			if r.Request != nil && (r.ID == "" || len(r.ID) > maxID || r.Patience <= 0 || r.Body == nil) {
+				t.Errorf("request %+v", r.Request)
+			}
+			if strings.EqualFold(r.in.Method, "CONNECT") {
+				t.Error("a CONNECT passes for a request")
+			}
+			whole := r.body.Whole()
+			budget.RequestDone(r.body.Held())
+			if !whole {
+				break
+			}
+			k.used = true
+		}
+	})
+}
+
+// pieces reads so many bytes at a time.
+type pieces struct {
+	*bytes.Reader
+	n int
+}
+
+func (p pieces) Read(b []byte) (int, error) { return p.Reader.Read(b[:min(len(b), p.n)]) }
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -173,7 +173,7 @@
 		classes = append(classes, oracle.Class{Name: c.Name, Effect: c.Effect, Group: c.Group, Window: c.Window})
 	}
 	f := s.Rules
-	book := oracle.New(oracle.Figures{MaxAttempts: f.MaxAttempts, AnswerSlack: f.AnswerSlack + slack, DrainGrace: f.DrainGrace + slack,
+	book := oracle.New(oracle.Figures{MaxAttempts: f.MaxAttempts, AnswerSlack: f.AnswerSlack + slack, DrainGrace: f.DrainGrace + slack, TunnelDrain: f.TunnelDrain,
 		WindowSlack: slack, FallMultiple: f.FallMultiple, FallFor: f.FallFor, ColdSlack: 2 * s.MeanWork()}, classes, s.Nodes, stories)
 	for _, v := range servers {
 		book.AddServer(oracle.Server{ID: v.ID, Zone: v.Zone, Pod: v.Pod})
--- a/internal/lab/model/model.go
+++ b/internal/lab/model/model.go
@@ -73,6 +73,8 @@
 	evLeave   // an impatient client
 	evOverdue // a client gives up
 	evTry     // a client's further try
+	evStood   // a tunnel has come to stand
+	evCut     // tunnels to a server have had their drain limit
 	evTake    // a request reaches its node
 	evAsk     // a client's first try
 	kinds
@@ -80,7 +82,7 @@
 
 // rank is the order of the sorts of events at the same instant.
 var rank = [kinds]uint8{evFault: 0, evNodeDown: 0, evNodeUp: 0, evPublish: 1, evCall: 1, evLost: 1, evNews: 1,
-	evReach: 2, evServe: 2, evDrop: 2, evProbe: 2, evOutcome: 3, evTimeout: 3, evTimer: 3, evProbed: 3, evLeave: 4, evOverdue: 4,
+	evReach: 2, evServe: 2, evDrop: 2, evProbe: 2, evOutcome: 3, evTimeout: 3, evTimer: 3, evProbed: 3, evStood: 3, evCut: 3, evLeave: 4, evOverdue: 4,
 	evTry: 5, evTake: 5, evAsk: 5}
 
 type event struct {
@@ -371,7 +373,7 @@
 		}
 	case evPublish:
 		w.publish(w.servers[e.a], policy.State(e.b), e.gen)
-	case evCall, evLost, evNews, evOutcome, evTimeout, evTimer, evProbed, evTake:
+	case evCall, evLost, evNews, evOutcome, evTimeout, evTimer, evProbed, evStood, evCut, evTake:
 		n := w.nodes[e.a]
 		if w.now < n.stopped {
 			if e.kind == evTake {
--- a/internal/lab/model/model_test.go
+++ b/internal/lab/model/model_test.go
@@ -421,3 +421,27 @@
 		last = e
 	}
 }
+
+// A thousand opaque tunnels stand when a third of their servers is told to drain: nothing new comes there past the grace, and
+// all end within their limit, by the books.
+func TestTunnelsUnderADrain(t *testing.T) {
+	s := library(t, "tunnels")
+	standing := 0
+	asks := s.Asks()
+	for a, ok := asks.Next(); ok; a, ok = asks.Next() {
+		if d := s.Faults[0].At; s.Classes[a.Class].Stands > 0 && a.At < d && a.At+s.Holds(&a, a.At) > d {
+			standing++
+		}
+	}
+	if standing < 1000 {
+		t.Fatalf("only %d tunnels stand when the drain begins", standing)
+	}
+	r := run(t, s, Portstall)
+	if r.BrokenTotal() > 0 {
+		t.Errorf("%v\n%s", r.Broken, r.Breaches[0])
+	}
+	if share := float64(r.All.Served) / float64(r.All.Asked); share < 0.95 {
+		t.Errorf("%.3f are served", share)
+	}
+	t.Logf("%d tunnels stand; %v", standing, r.Endings)
+}
--- a/internal/lab/model/node.go
+++ b/internal/lab/model/node.go
@@ -119,13 +119,19 @@
 			v := w.servers[e.b]
 			n.prober.Probed(epoch+w.now, v.ID, len(v.queue)+len(v.work), v.expects())
 		}
+	case evStood:
+		w.stood(n, e)
+	case evCut:
+		if e.gen == n.life {
+			w.cutTunnels(n, w.servers[e.b])
+		}
 	case evTake:
 		w.take(e.try)
 	case evOutcome:
 		w.outcome(e.job, e.out)
 	case evTimeout:
 		j := e.job
-		if j.done {
+		if j.done || j.stood > 0 {
 			return
 		}
 		out := policy.TimedOut
@@ -137,6 +143,33 @@
 	}
 }
 
+// stood gives a tunnel's client its reply: the final answer, while the attempt goes on.
+func (w *world) stood(n *node, e *event) {
+	j := e.job
+	if j.done || e.gen != n.life || j.try.answered {
+		return
+	}
+	j.stood = w.now
+	j.try.answered = true
+	w.book.Served(w.now, n.index, j.try.id)
+	w.settle(j.try, measure.Served, "", w.delay(w.s.Network.Client), 0)
+}
+
+// cutTunnels ends those that stand to a server which is still told to be out.
+func (w *world) cutTunnels(n *node, v *server) {
+	if n.known[v.index].State == policy.Active {
+		return
+	}
+	for _, t := range n.sortedTries() {
+		for _, j := range t.jobs {
+			if j.server == v && j.stood > 0 && !j.done {
+				w.abandon(j)
+				w.ended(j, policy.OK)
+			}
+		}
+	}
+}
+
 // take hands a request to the policy.
 func (w *world) take(t *try) {
 	n := t.node
@@ -288,6 +321,9 @@
 	n.forget(t)
 	ev := policy.Event{Kind: policy.EvOutcome, ID: t.id, Server: j.server.ID, Attempt: j.index, Took: w.now - j.sent,
 		Last: t.answered, Outcome: out}
+	if j.stood > 0 {
+		ev.Took = j.stood - j.sent
+	}
 	if !t.answered && t.admitted { // to the policy it is one that can't be sent again
 		ev.Spent = !n.ledger.Further(w.now, t.grant.Contract, w.s.Classes[t.ask.Class].Name)
 	}
@@ -340,7 +376,7 @@
 	timeout.kind = evTimeout
 	w.at(w.now+max(0, wait), timeout)
 	reachable := v.up && !v.silent && !w.isCut(n, v)
-	if w.reuse(n, v) {
+	if w.s.Classes[t.ask.Class].Stands == 0 && w.reuse(n, v) {
 		if reachable {
 			w.at(w.now+way, event{kind: evReach, job: j})
 		}
@@ -416,7 +452,7 @@
 	if j.noConn || j.life != v.life {
 		return
 	}
-	if out == policy.Reset || out == policy.ConnectFailed {
+	if out == policy.Reset || out == policy.ConnectFailed || j.stood > 0 {
 		n.open[v.index]--
 		v.conns--
 		return
--- a/internal/lab/model/roster.go
+++ b/internal/lab/model/roster.go
@@ -136,6 +136,10 @@
 // told books what a node hears of a server.
 func (w *world) told(n *node, index int, e policy.Entry) {
 	if n.known[index] != e {
+		if e.State != policy.Active && n.known[index].State == policy.Active {
+			// As the node does: a tenth of the grace is for the news to come.
+			w.at(w.now+w.s.Rules.DrainGrace*9/10+w.s.Rules.TunnelDrain, event{kind: evCut, a: int32(n.index), gen: n.life, b: int32(index)})
+		}
 		n.known[index] = e
 		w.book.Told(w.now, n.index, e.ID, e.State != policy.Active, since(e.Launched))
 	}
--- a/internal/lab/model/server.go
+++ b/internal/lab/model/server.go
@@ -24,8 +24,9 @@
 	met        int  // requests held when it arrived
 	breaks     policy.Outcome
 	reported   bool
-	queue      float64 // as reported in its answer,
-	held       float64 // and how many its server held; -1: not told
+	stood      time.Duration // when its tunnel came to stand; 0: it is a request, or has not
+	queue      float64       // as reported in its answer,
+	held       float64       // and how many its server held; -1: not told
 }
 
 // server is one web server: cores that share the requests in work evenly, a waiting room before them, a ramp after each
@@ -207,6 +208,13 @@
 		return // its node has closed the connection meanwhile
 	}
 	j.connecting = false
+	if w.s.Classes[j.try.ask.Class].Stands > 0 { // nothing of it is work; it stands, and ends when its sides have done
+		way := w.delay(w.s.Network.OneWay)
+		n := int32(j.try.node.index)
+		w.at(w.now+way, event{kind: evStood, a: n, gen: j.try.node.life, job: j})
+		w.at(w.now+way+w.s.Holds(&j.try.ask.Ask, w.now), event{kind: evOutcome, a: n, gen: j.try.node.life, job: j, out: policy.OK})
+		return
+	}
 	v.advance(w)
 	j.met = len(v.work) + len(v.queue)
 	switch {
--- a/internal/lab/oracle/oracle.go
+++ b/internal/lab/oracle/oracle.go
@@ -43,6 +43,7 @@
 	MaxAttempts  int
 	AnswerSlack  time.Duration // an answer may come this much after the client's time is up
 	DrainGrace   time.Duration
+	TunnelDrain  time.Duration // what a tunnel that stands may still have behind the grace
 	WindowSlack  time.Duration // clocks of a real run that don't tell more finely
 	FallMultiple float64
 	FallFor      time.Duration
@@ -283,6 +284,9 @@
 	}
 	b.note(r, at, "attempt %d ended: %s", index, outcome)
 	a := &r.attempts[index]
+	if t := b.told[node][a.server.ID]; r.answers > 0 && t.at > 0 && at > t.at+b.fig.DrainGrace+b.fig.TunnelDrain {
+		b.breach(Drain, at, node, id, "a tunnel outlives the drain of %d by %v", a.server.ID, at-t.at-b.fig.DrainGrace-b.fig.TunnelDrain)
+	}
 	a.open, a.ran = false, !neverRan
 	r.open--
 	if served {
--- a/internal/lab/oracle/oracle_test.go
+++ b/internal/lab/oracle/oracle_test.go
@@ -9,7 +9,7 @@
 const ms = time.Millisecond
 
 func book() *Book {
-	b := New(Figures{MaxAttempts: 3, AnswerSlack: 20 * ms, DrainGrace: time.Second, FallMultiple: 2, FallFor: time.Second},
+	b := New(Figures{MaxAttempts: 3, AnswerSlack: 20 * ms, DrainGrace: time.Second, TunnelDrain: time.Second, FallMultiple: 2, FallFor: time.Second},
 		[]Class{{Name: "read", Effect: "safe"}, {Name: "join", Effect: "keyed", Group: "all", Window: time.Second},
 			{Name: "accept", Effect: "keyed", Group: "pod", Window: time.Second}, {Name: "pay", Effect: "unsafe"},
 			{Name: "zoned", Effect: "keyed", Group: "zone", Window: time.Second}}, 2, true)
@@ -163,6 +163,20 @@
 			b.Taken(2*time.Second, 0, "r", read, 4*time.Second)
 			sent(b, 2*time.Second+ms, 1)
 		}, Drain},
+		{"a tunnel that outlives its server's drain", func(b *Book) {
+			b.Taken(0, 0, "r", read, time.Second)
+			sent(b, ms, 1)
+			b.Served(2*ms, 0, "r")
+			b.Told(3*ms, 0, 1, true, 0)
+			lost(b, 2004*ms, 0)
+		}, Drain},
+		{"a tunnel that ends within it", func(b *Book) {
+			b.Taken(0, 0, "r", read, time.Second)
+			sent(b, ms, 1)
+			b.Served(2*ms, 0, "r")
+			b.Told(3*ms, 0, 1, true, 0)
+			lost(b, 2003*ms, 0)
+		}, ""},
 		{"told again does not lengthen the grace", func(b *Book) {
 			b.Told(time.Second, 0, 1, true, 0)
 			b.Told(1900*ms, 0, 1, true, 0)
--- a/internal/lab/rig/client.go
+++ b/internal/lab/rig/client.go
@@ -54,7 +54,11 @@
 		r.mu.Lock()
 		r.rec.Try(a.At)
 		r.mu.Unlock()
-		v := r.try(&a, tries)
+		try := r.try
+		if c.Stands > 0 {
+			try = r.tunnel
+		}
+		v := try(&a, tries)
 		now := r.now()
 		r.mu.Lock()
 		storm := r.weather.Storm
--- a/internal/lab/rig/node.go
+++ b/internal/lab/rig/node.go
@@ -26,6 +26,7 @@
 	index   int
 	addr    string
 	client  *http.Client
+	opaque  string // where they ask for opaque tunnels, by CONNECT; empty: no class is of that kind
 	tunnels string // where clients ask for tunnels; empty: they don't
 
 	mu      sync.Mutex
@@ -120,7 +121,7 @@
 // file is the node's own file: the scenario's, with the addresses of this run.
 func (n *node) file() config.File {
 	s, file := n.rig.s, n.rig.s.File
-	if n.tunnels == "" && s.Servers.Via == "" {
+	if n.tunnels == "" && n.opaque == "" && s.Servers.Via == "" {
 		return file
 	}
 	if len(file.Services) == 0 {
@@ -133,7 +134,16 @@
 	case "connect":
 		t.Connect = n.tunnels
 	}
-	t.Routes = []config.Route{{Host: routeName, Port: 80, Service: file.Services[0].Name}}
+	if n.opaque != "" {
+		t.Connect = n.opaque
+	}
+	for i, c := range s.Classes {
+		if c.Stands > 0 {
+			t.Routes = append(t.Routes, config.Route{Host: opaqueName, Port: uint16(opaquePort(i)), Service: file.Services[0].Name, Kind: "opaque",
+				Class: c.Name, Drain: s.Rules.TunnelDrain, Idle: time.Hour, Total: 2 * time.Hour})
+		}
+	}
+	t.Routes = append(t.Routes, config.Route{Host: routeName, Port: 80, Service: file.Services[0].Name})
 	for i, v := range n.rig.servers {
 		if s.Servers.Via == "" {
 			break
--- a/internal/lab/rig/record.go
+++ b/internal/lab/rig/record.go
@@ -79,9 +79,13 @@
 
 // recorded books that the last byte of an attempt has reached a server, and returns the attempt's number.
 func (r *rig) recorded(id string, v *server, capacity float64) int {
+	return r.recordedAt(r.now(), id, v, capacity)
+}
+
+func (r *rig) recordedAt(at time.Duration, id string, v *server, capacity float64) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	n, at := r.nth[id], r.now()
+	n := r.nth[id]
 	r.nth[id]++
 	r.rec.Attempt(at)
 	r.note(record{what: sentTo, at: at, id: id, server: v.index, attempt: n, capacity: capacity})
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -120,6 +120,14 @@
 				return err
 			}
 		}
+		if slices.ContainsFunc(r.s.Classes, func(c scenario.Class) bool { return c.Stands > 0 }) {
+			if n.opaque, err = freeAddr(); err != nil {
+				return err
+			}
+			if r.s.Clients.Via == "connect" { // one listener does for both
+				n.opaque = n.tunnels
+			}
+		}
 		n.client = newClient(r.s.Clients.Via, n.tunnels)
 		r.nodes = append(r.nodes, n)
 	}
--- a/internal/lab/rig/rig_test.go
+++ b/internal/lab/rig/rig_test.go
@@ -104,6 +104,22 @@
 	}
 }
 
+// Opaque tunnels stand while their servers are told to drain and a node is restarted: the rules are kept, the one on how long
+// a tunnel may outlive the word among them.
+func TestTunnels(t *testing.T) {
+	t.Parallel()
+	text, _ := deploylab.Read("tunnels")
+	s, err := scenario.Parse("tunnels", text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Duration, s.Clients.Rate, s.Classes[0].Stands, s.Rules.TunnelDrain = 8*time.Second, 60, 4*time.Second, 500*time.Millisecond
+	s.Faults[0].At, s.Faults[0].For, s.Faults[1].At = 3*time.Second, 4*time.Second, 6*time.Second
+	if r := play(t, s); r.All.Served < r.All.Asked*8/10 {
+		t.Errorf("only %d of %d were served: %v", r.All.Served, r.All.Asked, r.Causes)
+	}
+}
+
 func TestWhatTheRigCannotPlay(t *testing.T) {
 	s := scenario.Default()
 	s.Faults = []scenario.Fault{{Kind: "cut", At: 1, For: 1, Share: 1, Nodes: 0.5}}
--- a/internal/lab/rig/server.go
+++ b/internal/lab/rig/server.go
@@ -42,6 +42,7 @@
 	conns    map[net.Conn]bool // true once a request has come on it
 	reports  fleet.Reports
 	stuffed  []net.Conn // fill its backlog
+	tunnels  map[net.Conn]struct{}
 	listing  int
 	sent     int
 	total    float64
@@ -60,7 +61,10 @@
 		return err
 	}
 	v.addr, v.ln = ln.Addr().String(), newGate(ln.(*net.TCPListener))
-	v.http = &http.Server{Handler: v, IdleTimeout: v.rig.s.Servers.Connections.Idle, ConnState: v.track}
+	v.http = &http.Server{Handler: v, IdleTimeout: v.rig.s.Servers.Connections.Idle, ConnState: v.track,
+		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+			return context.WithValue(ctx, acceptedKey{}, v.rig.now())
+		}}
 	v.conns = map[net.Conn]bool{}
 	v.up = true
 	go v.http.Serve(v.ln) // ends with Close
@@ -102,6 +106,10 @@
 		http.NotFound(w, r)
 		return
 	}
+	if r.URL.Path == "/tunnel" {
+		v.stands(w, r, id)
+		return
+	}
 	work, err := strconv.ParseFloat(r.URL.Query().Get("us"), 64)
 	if err != nil {
 		http.Error(w, "no work is named", http.StatusBadRequest)
@@ -360,6 +368,9 @@
 		c.Close()
 	}
 	v.stuffed = nil
+	for c := range v.tunnels {
+		reset(c)
+	}
 	for c := range v.conns {
 		if t, ok := c.(*net.TCPConn); ok {
 			t.SetLinger(0)
--- a/internal/lab/scenario/parse.go
+++ b/internal/lab/scenario/parse.go
@@ -43,7 +43,7 @@
 		Tenants: []Tenant{{Name: "gulf-coast", Share: 0.72, Usage: 1}, {Name: "central-tx", Share: 0.15, Usage: 1},
 			{Name: "panhandle", Share: 0.13, Usage: 1}},
 		Rules: Rules{MaxAttempts: 6, DrainGrace: time.Second, FallMultiple: 2.5, FallFor: 1500 * time.Millisecond,
-			ColdShare: 0.3, ColdFor: 8300 * time.Millisecond, AnswerSlack: 20 * time.Millisecond, OverShare: 0.2},
+			ColdShare: 0.3, ColdFor: 8300 * time.Millisecond, AnswerSlack: 20 * time.Millisecond, TunnelDrain: 3 * time.Second, OverShare: 0.2},
 	}
 }
 
@@ -195,6 +195,7 @@
 		word(p+"effect", c.Effect, "safe", "keyed", "unsafe")
 		word(p+"group", c.Group, "", "all", "zone", "pod")
 		span(p+"window", c.Window, 0)
+		span(p+"stands", c.Stands, 0)
 		if c.Effect == "keyed" && c.Window == 0 {
 			bad(p+"window", "missing: a keyed class says how long repeats are dropped")
 		}
@@ -217,6 +218,7 @@
 	span("rules.fall_for", r.FallFor, time.Millisecond)
 	number("rules.cold_share", r.ColdShare, 0.01, 1)
 	span("rules.cold_for", r.ColdFor, 0)
+	number("rules.tunnel_drain", r.TunnelDrain.Seconds(), 0.001, 60)
 	span("rules.answer_slack", r.AnswerSlack, 0)
 	number("rules.over_share", r.OverShare, 0, 1)
 	if first == nil {
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -137,6 +137,14 @@
 	Effect   string        `yaml:"effect"` // safe, keyed or unsafe
 	Group    string        `yaml:"group"`  // keyed: all, zone or pod
 	Window   time.Duration `yaml:"window"` // keyed
+	Stands   time.Duration `yaml:"stands"` // an opaque tunnel, which stands for this long on average; 0: a request
+}
+
+// Holds is how long an ask's tunnel stands that comes to stand at the given time: as its work is to its class's, and not
+// beyond the scenario's end.
+func (s *Scenario) Holds(a *Ask, at time.Duration) time.Duration {
+	c := &s.Classes[a.Class]
+	return max(0, min(time.Duration(float64(c.Stands)*a.Work.Seconds()/c.Work.Seconds()), s.Duration-at))
 }
 
 // Tenant is one part of the clients.
@@ -156,7 +164,8 @@
 	ColdShare    float64       `yaml:"cold_share"` // told to nodes: servers start with this part or more
 	ColdFor      time.Duration `yaml:"cold_for"`   // told to nodes: and are warm by then
 	AnswerSlack  time.Duration `yaml:"answer_slack"`
-	OverShare    float64       `yaml:"over_share"` // worth of what exceeds a tenant's share
+	TunnelDrain  time.Duration `yaml:"tunnel_drain"` // a tunnel that stands ends so long after its server's grace
+	OverShare    float64       `yaml:"over_share"`   // worth of what exceeds a tenant's share
 }
 
 // Capacity is the work that the warm fleet does, in seconds a second.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -68,6 +68,9 @@
 	allowedDesc  = prometheus.NewDesc("portstall_work_allowed", "Server-seconds a second that all contracts may use together; +Inf at ease.", nil, nil)
 	inUseDesc    = prometheus.NewDesc("portstall_work_in_use", "Server-seconds a second that they use.", nil, nil)
 	partDesc     = prometheus.NewDesc("portstall_contract_part", "Part of each contract that this node hands out.", nil, nil)
+	tunnelsDesc  = prometheus.NewDesc("portstall_tunnels_open", "Opaque tunnels that stand.", nil, nil)
+	endedDesc    = prometheus.NewDesc("portstall_tunnels_ended_total", "Opaque tunnels that have ended, by the cause.", []string{"cause"}, nil)
+	passedDesc   = prometheus.NewDesc("portstall_tunnel_bytes_total", "Bytes through opaque tunnels that have ended, both ways.", nil, nil)
 	takenDesc    = prometheus.NewDesc("portstall_requests_open", "Requests that the node has taken and not answered.", nil, nil)
 )
 
@@ -80,6 +83,12 @@
 	if st.Contracts {
 		gauges[allowedDesc], gauges[inUseDesc], gauges[partDesc] = st.Allowed, st.InUse, st.Part
 	}
+	tunnels := c.node.opaque.Stats()
+	gauges[tunnelsDesc] = float64(tunnels.Open)
+	ch <- prometheus.MustNewConstMetric(passedDesc, prometheus.CounterValue, float64(tunnels.Bytes))
+	for cause, n := range tunnels.Ended {
+		ch <- prometheus.MustNewConstMetric(endedDesc, prometheus.CounterValue, float64(n), string(cause))
+	}
 	for desc, v := range gauges {
 		ch <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, v)
 	}
--- a/internal/node/opaque_test.go
+++ b/internal/node/opaque_test.go
@@ -21,7 +21,10 @@
 	"golang.org/x/net/proxy"
 
 	backtunnel "portstall/internal/back/tunnel"
+	"portstall/internal/core"
 	"portstall/internal/lab/standin"
+	"portstall/internal/message"
+	"portstall/policy"
 )
 
 // lines is a server of some protocol of its own: it greets, then says again what it is told. It counts its connections.
@@ -318,6 +321,41 @@
 	}
 }
 
+// Between the pick and the connection its server is told to drain, or is taken out: the tunnel does not come to stand there,
+// and that proves that nothing ran.
+func TestOpaqueBetweenPickAndConnection(t *testing.T) {
+	t.Parallel()
+	l := newLines(t, nil)
+	r, _, _ := opaqueNode(t, "", "", l.entry("s-1"))
+	r.core.Lock()
+	server := r.names["s-1"].Server
+	r.core.Unlock()
+	stream := &message.Stream{Limits: message.Limits{Idle: time.Minute, Total: time.Minute}}
+	a := &core.Attempt{Request: &core.Request{Message: stream, Body: stream}, Server: server, Wait: patience}
+	server.Stop.Store(time.Now().Add(-time.Millisecond).UnixNano())
+	if res := r.opaque.Attempt(context.Background(), a); res.Outcome != policy.Moot {
+		t.Errorf("behind its grace: outcome %d", res.Outcome)
+	}
+	server.Stop.Store(0)
+	server.Gate.Set(true)
+	if res := r.opaque.Attempt(context.Background(), a); res.Outcome != policy.Moot {
+		t.Errorf("out by hand: outcome %d", res.Outcome)
+	}
+	r.pool.Resize(0)
+	if res := r.opaque.Attempt(context.Background(), a); res.Outcome != policy.Moot {
+		t.Errorf("with no descriptor: outcome %d", res.Outcome)
+	}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	r.pool.Resize(10)
+	cancel(core.ErrCanceled)
+	if res := r.opaque.Attempt(ctx, a); res.Outcome != policy.Canceled {
+		t.Errorf("given up: outcome %d", res.Outcome)
+	}
+	if stream.Spent() {
+		t.Error("bytes of the client count as gone")
+	}
+}
+
 // A thousand tunnels stand when their server is told to drain: nothing new comes to it from a second later on, those that
 // stand end within their limit, and new ones go elsewhere. The same where it is taken out by hand.
 func TestOpaqueDrains(t *testing.T) {
