--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -16,6 +16,7 @@
 	"time"
 
 	backtunnel "portstall/internal/back/tunnel"
+	"portstall/internal/cell"
 	"portstall/internal/contract"
 	"portstall/internal/front/tunnel"
 	"portstall/internal/message"
@@ -27,6 +28,22 @@
 	Contracts []Contract `yaml:"contracts"`
 	Parts     string     `yaml:"parts"` // of each contract that a node hands out: seen (as the reports tell; the default) or even
 	Tunnels   *Tunnels   `yaml:"tunnels"`
+	Cells     *Cells     `yaml:"cells"`
+}
+
+// Cells give each tenant a subset of the web servers of its own, spread over zones and pods.
+type Cells struct {
+	Size int    `yaml:"size"` // web servers a tenant
+	Seed uint64 `yaml:"seed"` // another one deals all anew
+}
+
+// Plan is how tenants are placed. An error is a *FieldError.
+func (c *Cells) Plan() (cell.Plan, error) {
+	p := cell.Plan{Size: c.Size, Seed: c.Seed}
+	if field, why := p.Check(); field != "" {
+		return p, &FieldError{"cells." + field, why}
+	}
+	return p, nil
 }
 
 // Tunnels are the listeners on which clients ask for tunnels, and what they may ask for.
@@ -258,6 +275,11 @@
 			}
 		}
 	}
+	if f.Cells != nil {
+		if _, err := f.Cells.Plan(); err != nil {
+			return err
+		}
+	}
 	_, err := Compile(f, nil)
 	return err
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -43,6 +43,8 @@
 	Server(number uint32) (any, bool)
 	Watch() // ask for changes from now on
 	Fetch() // ask for the whole list once
+	// Among is the servers, by their numbers, that a request may go to; nil: all. It is not changed afterwards.
+	Among(r *Request) []uint32
 }
 
 // ErrCanceled is why an attempt's context ends when nobody waits for the attempt any more.
@@ -191,7 +193,7 @@
 	}
 	c.requests[r.ID] = r
 	c.handle(now, &policy.Event{Kind: policy.EvRequest, ID: r.ID, Class: r.Class, Tenant: r.Tenant, Left: left,
-		Repeat: r.Repeat, Borrowed: r.grant.verdict.Borrowed})
+		Repeat: r.Repeat, Borrowed: r.grant.verdict.Borrowed, Among: c.roster.Among(r)})
 	return true
 }
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -21,6 +21,7 @@
 func (bubble) AfterFunc(d time.Duration, f func()) { time.AfterFunc(d, f) }
 func (bubble) Spent() bool                         { return false }
 func (bubble) Watch()                              {}
+func (bubble) Among(*Request) []uint32             { return nil }
 func (bubble) Fetch()                              {}
 func (bubble) Server(number uint32) (any, bool)    { return number, number != 3 } // one that has left the roster
 func settings() policy.Settings {
--- a/internal/front/http/fuzz_test.go
+++ b/internal/front/http/fuzz_test.go
@@ -37,6 +37,7 @@
 func (still) AfterFunc(time.Duration, func())                        {}
 func (still) Server(uint32) (any, bool)                              { return nil, false }
 func (still) Watch()                                                 {}
+func (still) Among(*core.Request) []uint32                           { return nil }
 func (still) Fetch()                                                 {}
 func (still) Attempt(context.Context, *core.Attempt) (r core.Result) { return r }
 
--- a/internal/lab/model/fault.go
+++ b/internal/lab/model/fault.go
@@ -107,6 +107,18 @@
 	}
 }
 
+// poisons tells whether a request that reaches its server kills it.
+func (w *world) poisons(j *job) bool {
+	for i := range w.s.Faults {
+		f := &w.s.Faults[i]
+		if t := j.try.ask.Tenant; w.active[i] && f.Kind == "poison" && t >= 0 && w.s.Tenants[t].Name == f.Tenant && w.rng.Float64() < f.Part {
+			w.poison = f.Delay
+			return true
+		}
+	}
+	return false
+}
+
 // isCut tells whether the network between a node and a server is cut.
 func (w *world) isCut(n *node, v *server) bool {
 	if w.weather.Cuts == 0 {
--- a/internal/lab/model/model.go
+++ b/internal/lab/model/model.go
@@ -73,6 +73,7 @@
 	evLeave   // an impatient client
 	evOverdue // a client gives up
 	evTry     // a client's further try
+	evBack    // a server that was killed for a while returns
 	evStood   // a tunnel has come to stand
 	evCut     // tunnels to a server have had their drain limit
 	evTake    // a request reaches its node
@@ -81,7 +82,7 @@
 )
 
 // rank is the order of the sorts of events at the same instant.
-var rank = [kinds]uint8{evFault: 0, evNodeDown: 0, evNodeUp: 0, evPublish: 1, evCall: 1, evLost: 1, evNews: 1,
+var rank = [kinds]uint8{evFault: 0, evBack: 0, evNodeDown: 0, evNodeUp: 0, evPublish: 1, evCall: 1, evLost: 1, evNews: 1,
 	evReach: 2, evServe: 2, evDrop: 2, evProbe: 2, evOutcome: 3, evTimeout: 3, evTimer: 3, evProbed: 3, evStood: 3, evCut: 3, evLeave: 4, evOverdue: 4,
 	evTry: 5, evTake: 5, evAsk: 5}
 
@@ -145,9 +146,11 @@
 	nodes     []*node
 	roster    roster
 	asks      *scenario.Asks
-	hits      [][]int // servers or nodes that each fault hits
-	cutFrom   [][]int // nodes of a cut
-	active    []bool  // faults in force
+	among     [][]uint32    // servers of each tenant's cell; nil: there are no cells
+	poison    time.Duration // how long a server is gone that a request has killed
+	hits      [][]int       // servers or nodes that each fault hits
+	cutFrom   [][]int       // nodes of a cut
+	active    []bool        // faults in force
 	weather   fleet.Weather
 	contracts *contract.Table
 	book      *oracle.Book
@@ -236,6 +239,7 @@
 	}
 	list := s.Fleet()
 	w.hits = s.Hits(list)
+	w.among = s.Among(list)
 	w.book = fleet.Books(s, list, 0, opt.Stories)
 	for i, f := range list {
 		v := &server{Server: f, index: i, up: true, reports: fleet.Reports{Period: s.Servers.Reports.Period,
@@ -383,6 +387,8 @@
 			return
 		}
 		w.atNode(n, e)
+	case evBack:
+		w.back(w.servers[e.a])
 	case evReach:
 		w.reach(e.job)
 	case evServe:
--- a/internal/lab/model/node.go
+++ b/internal/lab/model/node.go
@@ -209,7 +209,15 @@
 		t.admitted, t.grant, borrowed = true, v, v.Borrowed
 	}
 	w.handle(n, &policy.Event{Kind: policy.EvRequest, ID: t.id, Class: class, Tenant: tenant,
-		Left: max(0, t.until-w.now), Repeat: repeat, Borrowed: borrowed})
+		Left: max(0, t.until-w.now), Repeat: repeat, Borrowed: borrowed, Among: w.amongOf(t)})
+}
+
+// amongOf is the servers of a request's tenant; nil: all.
+func (w *world) amongOf(t *try) []uint32 {
+	if w.among == nil || t.ask.Tenant < 0 {
+		return nil
+	}
+	return w.among[t.ask.Tenant]
 }
 
 // look tells a node's ledger what the policy sees.
--- a/internal/lab/model/server.go
+++ b/internal/lab/model/server.go
@@ -217,6 +217,13 @@
 	}
 	v.advance(w)
 	j.met = len(v.work) + len(v.queue)
+	if w.poisons(j) {
+		f := v.until
+		w.down(v, false)
+		v.until = max(f, w.now+w.poison)
+		w.at(v.until, event{kind: evBack, a: int32(v.index)})
+		return
+	}
 	switch {
 	case v.trouble.Errors > 0 && w.rng.Float64() < v.trouble.Errors, v.Kind.ErrorRate > 0 && w.rng.Float64() < v.Kind.ErrorRate:
 		v.reply(w, j, policy.Failed)
--- a/internal/lab/scenario/draw.go
+++ b/internal/lab/scenario/draw.go
@@ -5,6 +5,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"portstall/internal/cell"
 )
 
 // Server is one web server as drawn for a scenario.
@@ -76,6 +78,28 @@
 	return all
 }
 
+// Among are the servers of each tenant's cell; nil where there are no cells.
+func (s *Scenario) Among(fleet []Server) [][]uint32 {
+	if s.Cells.Size == 0 {
+		return nil
+	}
+	var servers []cell.Server
+	byName := map[string]uint32{}
+	for _, v := range fleet {
+		name := fmt.Sprint(v.ID)
+		byName[name] = v.ID
+		servers = append(servers, cell.Server{ID: name, Zone: ZoneName(v.Zone), Pod: int64(v.Pod)})
+	}
+	m := cell.New(cell.Plan{Size: s.Cells.Size}, servers...)
+	all := make([][]uint32, len(s.Tenants))
+	for i, t := range s.Tenants {
+		for _, v := range m.Subset(t.Name) {
+			all[i] = append(all[i], byName[v.ID])
+		}
+	}
+	return all
+}
+
 // Ask is one thing that a client wants. Its tries share one deadline.
 type Ask struct {
 	Index    int
--- a/internal/lab/scenario/fault.go
+++ b/internal/lab/scenario/fault.go
@@ -62,6 +62,7 @@
 	"proxy_down":     {About: "the first proxy before the servers dies: its connections are reset, new ones refused", Rig: true},
 	"proxy_slow":     {About: "the first proxy before the servers takes the delay to open a connection", Delay: true, Rig: true},
 	"proxy_nonsense": {About: "the first proxy before the servers answers what no proxy does; connections that stand go on", Rig: true},
+	"poison":         {About: "a part of one tenant's requests kills the server that it reaches, which comes back cold after the delay", Part: true, Delay: true},
 	"zone_loss":      {About: "all servers of one zone go silent; they come back cold", Rig: true},
 }
 
@@ -70,7 +71,9 @@
 func Draw(s Scenario, seed uint64) Scenario {
 	rng := rand.New(rand.NewPCG(seed, 0x64726177))
 	span := s.Duration - s.Warmup
-	kinds := slices.DeleteFunc(KindNames(), func(kind string) bool { return kind == "zone_loss" || ofProxies(kind) && s.Servers.Via == "" }) // it may be the only zone
+	kinds := slices.DeleteFunc(KindNames(), func(kind string) bool {
+		return kind == "zone_loss" || kind == "poison" || ofProxies(kind) && s.Servers.Via == ""
+	}) // it may be the only zone, and a poison wants its tenant
 	s.Seed, s.Faults = seed, nil
 	for range 2 + rng.IntN(4) {
 		f := Fault{Kind: kinds[rng.IntN(len(kinds))]}
--- a/internal/lab/scenario/parse.go
+++ b/internal/lab/scenario/parse.go
@@ -112,6 +112,7 @@
 	count("servers.zones", v.Zones, 1, 20)
 	word("servers.via", v.Via, "", "socks5", "connect")
 	word("clients.via", s.Clients.Via, "", "socks5", "connect")
+	count("cells.size", s.Cells.Size, 0, 10000)
 	count("servers.pod_size", v.PodSize, 0, 10000)
 	if len(v.Kinds) == 0 {
 		bad("servers.kinds", "at least one is needed")
@@ -263,6 +264,9 @@
 		if ofProxies(f.Kind) && v.Via == "" {
 			bad(p+"kind", "%s is for scenarios whose servers are reached by way of proxies (servers.via)", f.Kind)
 		}
+		if f.Kind == "poison" && f.Tenant == "" {
+			bad(p+"tenant", "missing: poison is a tenant's")
+		}
 		if f.Kind == "zone_loss" {
 			count(p+"zone", f.Zone, 0, v.Zones-1)
 		}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -28,6 +28,7 @@
 	Classes  []Class       `yaml:"classes"`
 	Tenants  []Tenant      `yaml:"tenants"`
 	Rules    Rules         `yaml:"rules"`
+	Cells    Cells         `yaml:"cells"`
 	Faults   []Fault       `yaml:"faults"`
 
 	config.File `yaml:",inline"` // what the nodes' own file says: services and contracts
@@ -147,6 +148,11 @@
 	return max(0, min(time.Duration(float64(c.Stands)*a.Work.Seconds()/c.Work.Seconds()), s.Duration-at))
 }
 
+// Cells give each tenant a subset of the servers of its own; in the model only.
+type Cells struct {
+	Size int `yaml:"size"` // servers a tenant; 0: all share all
+}
+
 // Tenant is one part of the clients.
 type Tenant struct {
 	Name  string  `yaml:"name"`
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -149,6 +149,11 @@
 		if _, err := cfg.contracts(); err != nil {
 			return Config{}, fmt.Errorf("PORTSTALL_FILE: %s: %w", path, err)
 		}
+		if c := cfg.Product.Cells; c != nil {
+			if _, err := c.Plan(); err != nil {
+				return Config{}, fmt.Errorf("PORTSTALL_FILE: %s: %w", path, err)
+			}
+		}
 		if err := cfg.opaque(); err != nil {
 			return Config{}, fmt.Errorf("PORTSTALL_FILE: %s: %w", path, err)
 		}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -212,6 +212,7 @@
 	n.version = l.Version
 	entries := make([]policy.Entry, 0, len(l.Servers))
 	seen := map[string]bool{}
+	var at map[string][]*backend // by address, where a new one is listed
 	for i := range l.Servers {
 		seen[l.Servers[i].ID] = true
 	}
@@ -237,8 +238,14 @@
 		case b == nil && e.State == policy.Left:
 			continue
 		case b == nil:
-			for _, o := range n.names {
-				if o.Addr == s.Addr && !o.left && !seen[o.ID] {
+			if at == nil {
+				at = map[string][]*backend{}
+				for _, o := range n.names {
+					at[o.Addr] = append(at[o.Addr], o)
+				}
+			}
+			for _, o := range at[s.Addr] {
+				if n.names[o.ID] == o && !o.left && !seen[o.ID] {
 					// Its process can't be there any more: what goes to its address reaches the new one.
 					entries = append(entries, policy.Entry{ID: o.number, State: policy.Left})
 					n.drop(o)
@@ -265,6 +272,7 @@
 		case policy.Left:
 			n.drop(b)
 		}
+		n.cells.changed(b)
 	}
 	if kind != policy.ListDelta {
 		for id, b := range n.names {
@@ -277,7 +285,10 @@
 	n.hand.listed(n, n.core.Now())
 	n.ready = false
 	for _, b := range n.names {
-		n.ready = n.ready || b.Stop.Load() == 0
+		if b.Stop.Load() == 0 {
+			n.ready = true
+			break
+		}
 	}
 }
 
@@ -302,6 +313,7 @@
 	}
 	b.left = true
 	n.drainBackend(b)
+	n.cells.changed(b)
 	stop := b.Stop.Load()
 	time.AfterFunc(n.set.Load().Policy.DrainGrace, func() {
 		n.core.Lock()
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	"net/url"
 
@@ -12,6 +13,8 @@
 	"portstall/internal/mgmt"
 )
 
+var errNoCells = errors.New("no cells are laid out")
+
 // levelsMost bounds how many contracts are told of, and with it the number of series: the first ones of the file that
 // were used. What is left out is counted.
 const levelsMost = 200
@@ -33,6 +36,13 @@
 			v, err := n.Explain(q)
 			return asJSON(w, v, err)
 		}},
+		{Path: "cell", Type: "application/json", Write: func(w io.Writer, q url.Values) error {
+			c, ok := n.cellOf(q.Get("tenant"))
+			if !ok {
+				return errNoCells
+			}
+			return asJSON(w, c, nil)
+		}},
 		{Path: "contracts", Type: "application/json", Write: func(w io.Writer, _ url.Values) error {
 			st := n.core.Stats(levelsMost)
 			if !st.Contracts {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"portstall/internal/back"
 	backhttp "portstall/internal/back/http"
 	backtunnel "portstall/internal/back/tunnel"
+	"portstall/internal/cell"
 	"portstall/internal/core"
 	"portstall/internal/flow"
 	fronthttp "portstall/internal/front/http"
@@ -58,7 +59,8 @@
 	backends map[uint32]*backend // the same by the policy's number, and those that left until their grace is over
 	nextNum  uint32
 	version  int64 // of the list
-	ready    bool  // some backend is listed as ready
+	cells    cells
+	ready    bool // some backend is listed as ready
 }
 
 // backend is one web server as the roster knows it. All but the server itself is guarded by the core's lock.
@@ -151,6 +153,14 @@
 		n.core.Close()
 		return nil, nil, fmt.Errorf("contracts: %w", err)
 	}
+	if cfg.Product != nil && cfg.Product.Cells != nil {
+		plan, err := cfg.Product.Cells.Plan()
+		if err != nil {
+			n.core.Close()
+			return nil, nil, fmt.Errorf("cells: %w", err)
+		}
+		n.cells.now = cell.New(plan)
+	}
 	n.set.Store(newSettings(cfg.Settings))
 	n.pool = back.NewPool(cfg.poolLimit(), cfg.Settings.ConnectTimeout, cfg.Settings.ConnIdle)
 	n.budget = flow.NewBudget(cfg.bodyBytes())
--- a/policy/api.go
+++ b/policy/api.go
@@ -191,6 +191,7 @@
 	Tenant   string        // EvRequest
 	Left     time.Duration // EvRequest: the client gives up after this
 	Repeat   bool          // EvRequest: a client's repeat of its earlier try, where clients say so
+	Among    []uint32      // EvRequest: the backends that it may go to; nil: all. Not changed afterwards
 	Borrowed bool          // EvRequest: it goes on what others leave unused, and is diverted first
 	Server   uint32        // EvOutcome, EvDisable, EvEnable
 	Attempt  int           // EvOutcome: number of the attempt, from 0 in the order of the sends
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,7 +24,6 @@
 	aimPart   = 0.40 // H is at most what a backend clears in this part of the shortest aim
 	roomPart  = 0.80 // and at most this part of an occupancy that drew 'full', as reports tell of it too late
 	minH      = 1.6  // below this the noise of single requests would decide the modes
-	sharpness = 8    // the split's weights fall with this power of the expected delay
 	ownZone   = 1.5  // weight of a backend in this node's own zone
 	othersTau = 3.0  // reports are older than most requests: what others add is known as a mean only
 	lagTau    = 0.5  // about how old a report is when it is read
@@ -49,7 +48,11 @@
 	askAgain  = 1.0  // after a lost list a node asks again within about this
 	strainN   = 15.0 // pressure is told over so many requests,
 	fadeTau   = 0.7  // and fades over this
+	overMost  = 64   // requests that are over are kept to be used again
 	tick      = 0.25 // plans are renewed this often
+	wide      = 24   // a longer list is sampled for each draw, not walked:
+	sample    = 12   // so many at random,
+	mostLook  = 72   // and as many again up to this while none of them will do
 )
 
 // New returns the balancer of one node, or an error that names the setting that makes no sense.
@@ -143,14 +146,22 @@
 	if _, known := b.requests[ev.ID]; known {
 		return
 	}
-	// A class never told of must be taken as one that must not run twice.
-	c := &class{Class: Class{Name: ev.Class, Effect: Unsafe}}
+	var c *class
 	if i := slices.IndexFunc(b.classes, func(k *class) bool { return k.Name == ev.Class }); i >= 0 {
 		c = b.classes[i]
+	} else { // a class never told of must be taken as one that must not run twice
+		c = &class{Class: Class{Name: ev.Class, Effect: Unsafe}}
 	}
 	c.requests++
 	left := ev.Left.Seconds()
-	r := &request{id: ev.ID, class: c, until: now + left, aim: now + left, most: b.set.MaxAttempts}
+	var r *request
+	if n := len(b.over); n > 0 {
+		r, b.over = b.over[n-1], b.over[:n-1]
+	} else {
+		r = &request{}
+	}
+	*r = request{id: ev.ID, class: c, until: now + left, aim: now + left, most: b.set.MaxAttempts,
+		attempts: r.attempts[:0]}
 	if aim := c.Aim.Seconds(); aim > 0 && c.LateWorth == 0 {
 		// A repeat with less time left than any first try lately has what is left of the deadline: that tells
 		// the age of its request. Work for one past its aim would only make others late.
@@ -163,6 +174,7 @@
 	}
 	b.requests[ev.ID] = r
 	b.total++
+	r.among = ev.Among
 	r.borrowed = ev.Borrowed // others' guarantees go before it wherever anything waits
 	if r.lesser = b.overShare(ev.Tenant) || c.lesser || r.borrowed; r.lesser {
 		b.lessers++
@@ -174,6 +186,14 @@
 	b.retries = min(retryBank, b.retries+retryPart)
 }
 
+// drop forgets a request that nothing more can come of. A few are kept to be used again.
+func (b *Balancer) drop(r *request) {
+	delete(b.requests, r.id)
+	if len(b.over) < overMost {
+		b.over = append(b.over, r)
+	}
+}
+
 // overShare draws whether a request lies past its tenant's share: the node takes its own part of the share,
 // and of what goes beyond it as many at random as there are too many.
 func (b *Balancer) overShare(name string) bool {
@@ -224,7 +244,7 @@
 
 // finish gives the final answer: a refusal where the client may safely try again, a failure elsewhere.
 func (b *Balancer) finish(now float64, r *request) {
-	delete(b.requests, r.id) // no attempt is out: nothing more can come of it
+	b.drop(r) // no attempt is out: nothing more can come of it
 	c := r.class
 	if r.mayRun != nil && (c.Effect == Unsafe || c.Effect == Keyed && c.Group != GroupAll) {
 		b.do(Action{Kind: ActFail, ID: r.id}) // it may have run: a refusal would promise too much
@@ -251,7 +271,7 @@
 	r.final = r.final || ev.Last
 	if r.final {
 		if r.open == 0 {
-			delete(b.requests, r.id)
+			b.drop(r)
 		}
 		return
 	}
@@ -269,7 +289,8 @@
 // diverts draws whether a backend in overload diverts a request of a class. The share q of all requests is
 // diverted, lesser classes first; what passes falls as the occupancy exceeds H.
 func (b *Balancer) diverts(now float64, s *server, lesser bool) bool {
-	q := 1 - (1-divert)*min(1, b.high(s, b.limit(s))/max(b.waiting(s, now), 1))
+	service := b.service(s)
+	q := 1 - (1-divert)*min(1, s.high(b, s.limit(b, service), service)/max(b.waiting(s, now), 1))
 	part := b.lessers / max(b.total, 1)
 	if lesser {
 		return b.rng.Float64()*part < q
@@ -329,7 +350,7 @@
 		}
 		// Turned away is the freshest report there is: R is reached, whatever older reports still arrive.
 		// Without this a full backend looks best, as what it turns away at once never counts as in flight.
-		s.full, s.fullAt = b.limit(s), now
+		s.full, s.fullAt = s.limit(b, b.service(s)), now
 		// A draining backend turns all away until the list tells; a crowded one still answers others.
 		if s.lastOK < now-silence {
 			b.blame(now, s, outTau)
@@ -386,7 +407,7 @@
 		}
 	}
 	if r.open == 0 {
-		delete(b.requests, r.id)
+		b.drop(r)
 	}
 }
 
@@ -415,14 +436,14 @@
 }
 
 // limit is R: the queue a backend clears in half the shortest told deadline, capped where 'full' was met.
-func (b *Balancer) limit(s *server) float64 {
-	return max(min(s.room, b.half/b.service(s)), s.least()/onset)
+func (s *server) limit(b *Balancer, service float64) float64 {
+	return max(min(s.room, b.half/service), s.least()/onset)
 }
 
 // high is H. It never lets a backend hold more than it clears in a part of the shortest aim: an answer past
 // its aim is wasted work, however long the deadline.
-func (b *Balancer) high(s *server, r float64) float64 {
-	return max(min(onset*r, roomPart*s.room, aimPart*b.aim/b.service(s)), s.least())
+func (s *server) high(b *Balancer, r, service float64) float64 {
+	return max(min(onset*r, roomPart*s.room, aimPart*b.aim/service), s.least())
 }
 
 // least is what H never falls below: as many requests as a backend was seen to have in work at once. Until
@@ -430,10 +451,11 @@
 // service time look long, and with it H low: a node that refuses for that reason would never see better.
 func (s *server) least() float64 { return max(minH, min(s.slots, roomPart*s.room)) }
 
-// update moves a backend between its modes.
-func (s *server) update(now float64, b *Balancer) {
-	n, r := b.waiting(s, now), b.limit(s)
-	h := b.high(s, r)
+// update moves a backend between its modes, and tells its occupancy and service time.
+func (s *server) update(now float64, b *Balancer) (occupancy, service float64) {
+	n, service := b.waiting(s, now), b.service(s)
+	r := s.limit(b, service)
+	h := s.high(b, r, service)
 	if s.mode == normal && n >= h {
 		s.mode = overload
 	}
@@ -443,12 +465,13 @@
 	if s.mode == discard && n < h {
 		s.mode = overload
 	}
-	if s.mode == discard && now-max(s.reportAt, s.fullAt) > r*b.service(s) {
+	if s.mode == discard && now-max(s.reportAt, s.fullAt) > r*service {
 		s.mode = overload // passing sends bring a new report
 	}
 	if s.mode == overload && n < h*abatement/onset {
 		s.mode = normal
 	}
+	return n, service
 }
 
 // ramp is the least part of its capacity that a backend has, by the time since its start.
@@ -478,8 +501,20 @@
 	var chosen, spare *server
 	sum := 0.0
 	b.picks++
-	for _, s := range b.order {
-		if s.update(now, b); s.mode > worst || !b.usable(now, r, s) {
+	from, step, at, part := b.candidates(r), 1, 0, 1.0
+	n := len(from)
+	if n > wide { // each is as likely to be looked at as any other, and none twice
+		for at = b.rng.IntN(n); step == 1 || gcd(step, n) > 1; step = 1 + b.rng.IntN(n-1) {
+		}
+		part = sample / float64(n)
+	}
+	for i := 0; i < n; i, at = i+1, (at+step)%n {
+		if n > wide && i > 0 && i%sample == 0 && (chosen != nil || i == mostLook) {
+			break
+		}
+		s := from[at]
+		occupancy, service := s.update(now, b)
+		if s.mode > worst || !b.usable(now, r, s) {
 			continue
 		}
 		if ramp := b.ramp(s, now); ramp < 1 {
@@ -487,12 +522,13 @@
 			// ramp's part of what a warm one serves, times a part of the multiple that brings it down. The
 			// rest is for bursts and for backends slower than their kind. Nothing is saved up: budgets that
 			// hundreds of nodes begin at the same start would come due together.
-			if b.rng.Float64() < s.chance*ramp*b.set.FallFactor*coldPart {
+			// One that is looked at by chance has its share of that chance.
+			if i < max(sample, wide) && b.rng.Float64() < s.chance*ramp*b.set.FallFactor*coldPart/part {
 				return s
 			}
 			// It may also take what nobody else does while it has nothing: with one attempt of each of a few
 			// nodes in flight it is sent only as fast as it answers, however cold it is.
-			idle := s.own == 0 && s.mode == normal && b.waiting(s, now) < 1
+			idle := s.own == 0 && s.mode == normal && occupancy < 1
 			if idle && b.set.Nodes <= fewNodes && (spare == nil || b.rng.Float64() < 0.5) {
 				spare = s
 			}
@@ -500,9 +536,11 @@
 		}
 		// Other nodes see the same and do alike: an own attempt stands for one of each. Without this many
 		// nodes, each with few attempts out, meet on the same backends by chance, and one gone silent fills.
-		delay := b.service(s) * (b.waiting(s, now) + 1 + s.own*float64(b.set.Nodes-1))
-		weight := math.Pow(1/max(delay, 1e-3), sharpness)
-		if s.Zone == b.set.Zone {
+		delay := max(service*(occupancy+1+s.own*float64(b.set.Nodes-1)), 1e-3)
+		delay *= delay
+		delay *= delay
+		weight := 1 / (delay * delay) // the eighth power: the split is sharp
+		if s.near {
 			weight *= ownZone
 		}
 		sum += weight
@@ -513,26 +551,57 @@
 	return cmp.Or(chosen, spare)
 }
 
+// candidates are the backends among which a request may be drawn: those of its cell, or all. A long list is
+// not sampled for what may not be sent to; of a short one usable tells.
+func (b *Balancer) candidates(r *request) []*server {
+	if r.among != nil {
+		b.cell = b.cell[:0]
+		for _, id := range r.among {
+			if s := b.servers[id]; s != nil {
+				b.cell = append(b.cell, s)
+			}
+		}
+		return b.cell
+	}
+	if m := r.mayRun; m != nil && r.class.Effect == Keyed && len(b.order) > wide {
+		switch r.class.Group {
+		case GroupZone:
+			return b.zones[m.Zone]
+		case GroupCell:
+			return b.cells[m.Cell]
+		}
+	}
+	return b.order
+}
+
+func gcd(x, y int) int {
+	for y > 0 {
+		x, y = y, x%y
+	}
+	return x
+}
+
 // plan runs a few times a second: it ages what was learnt and renews what the requests then use.
 func (b *Balancer) plan(now float64) {
-	type pool struct{ latency, occupancy, served, warm, work, told float64 }
-	kinds, all := map[string]*pool{}, &pool{}
+	all := &kind{}
+	b.kinds = map[string]*kind{}
 	dt := max(now-b.planAt, 1e-3)
 	b.planAt = now
-	f := math.Exp(-dt / rateTau)
+	f, wider, fewer := math.Exp(-dt/rateTau), math.Exp(dt/oldTau), math.Exp(-dt/slotTau)
 	b.seen *= f
 	b.strain *= math.Exp(-dt / fadeTau) // who refuses all requests would else never see better
 	b.picks, b.span = b.picks*f, b.span*f+rateTau*(1-f)
 	for _, s := range b.order {
 		s.latency, s.occupancy, s.served = s.latency*f, s.occupancy*f, s.served*f
-		s.room *= math.Exp(dt / oldTau)
-		s.slots *= math.Exp(-dt / slotTau)
-		k := kinds[s.Kind]
+		s.room *= wider
+		s.slots *= fewer
+		k := b.kinds[s.Kind]
 		if k == nil {
-			k = &pool{}
-			kinds[s.Kind] = k
+			k = &kind{}
+			b.kinds[s.Kind] = k
 		}
-		for _, p := range []*pool{k, all} {
+		s.kin = k
+		for _, p := range [...]*kind{k, all} {
 			p.latency += s.latency
 			if s.work > 0 {
 				p.work += s.work
@@ -546,22 +615,25 @@
 		}
 	}
 	fleet := (all.latency + prior*guess) / (all.occupancy + prior)
-	own, others := 1.0, float64(b.set.Nodes-1) // what this node and the others have in flight
-	for _, s := range b.order {
-		k := kinds[s.Kind]
-		s.typical = (k.latency + prior*fleet) / (k.occupancy + prior)
+	for _, k := range b.kinds {
+		k.typical = (k.latency + prior*fleet) / (k.occupancy + prior)
+		k.base = math.Inf(1)
 		if k.told > 0 {
-			s.base = min(s.base, k.work/k.told)
+			k.base = k.work / k.told
 		}
-		own += s.ownLag
-		others += max(0, s.others)
-		s.chance = b.span / s.typical / float64(b.set.Nodes) // one after the other, where no backend is warm
+		k.chance = b.span / k.typical / float64(b.set.Nodes) // one after the other, where no backend is warm
 		if k.warm > 0 {
-			s.chance = k.served / k.warm
+			k.chance = k.served / k.warm
 		} else if all.warm > 0 {
-			s.chance = all.served / all.warm / 2 // its kind may be the slower one
+			k.chance = all.served / all.warm / 2 // its kind may be the slower one
 		}
-		s.chance /= b.picks + 1
+		k.chance /= b.picks + 1
+	}
+	own, others := 1.0, float64(b.set.Nodes-1) // what this node and the others have in flight
+	for _, s := range b.order {
+		s.take(b)
+		own += s.ownLag
+		others += max(0, s.others)
 	}
 	b.part = own / (own + others)
 	for _, t := range b.tenants {
@@ -570,6 +642,12 @@
 	b.shares(math.Exp(-dt / oldTau))
 }
 
+// take takes over what is known of a backend's kind, and of where it is.
+func (s *server) take(b *Balancer) {
+	s.typical, s.chance, s.base = s.kin.typical, s.kin.chance, min(s.base, s.kin.base)
+	s.near = s.Zone == b.set.Zone
+}
+
 // shares finds the lesser classes, those worth less than the average for their work. They are not ranked
 // further: the worst of them counts too.
 func (b *Balancer) shares(f float64) {
@@ -618,18 +696,64 @@
 			return
 		}
 	}
+	var others []*server
+	few := ev.List == ListDelta && len(b.order) > wide && len(ev.Entries)*20 < len(b.order)
 	for _, e := range ev.Entries {
-		s := b.servers[e.ID]
+		old := b.servers[e.ID]
+		s := old
 		if s == nil || e.Launched.Seconds() > s.launched && e.State == Active {
-			disabled := s != nil && s.disabled // a restart does not put it back
 			s = started(now, e.Launched.Seconds())
-			s.disabled = disabled
+			s.disabled = old != nil && old.disabled // a restart does not put it back
 			b.servers[e.ID] = s
+			others = append(others, s)
+		}
+		if few && old != nil {
+			b.file(old, false)
 		}
 		s.Entry, s.grace = e, 0
+		if few {
+			b.introduce(s)
+		}
+	}
+	if !few { // else the next plan is soon enough, and a long list is not walked for a line of it
+		b.arrange(others...)
+		b.plan(now)
 	}
-	b.arrange()
-	b.plan(now)
+}
+
+// introduce puts a server into a long list, with what is known of its kind.
+func (b *Balancer) introduce(s *server) {
+	if s.State == Left {
+		delete(b.servers, s.ID)
+		return
+	}
+	if s.kin = b.kinds[s.Kind]; s.kin == nil { // for the moment as any other
+		for _, s.kin = range b.kinds {
+			break
+		}
+	}
+	s.take(b)
+	b.file(s, true)
+}
+
+// file enters a server into the orders that draws go by, or strikes it off.
+func (b *Balancer) file(s *server, enter bool) {
+	b.order = filed(b.order, s, enter)
+	b.zones[s.Zone] = filed(b.zones[s.Zone], s, enter)
+	b.cells[s.Cell] = filed(b.cells[s.Cell], s, enter)
+}
+
+func byID(x, y *server) int { return cmp.Compare(x.ID, y.ID) }
+
+func filed(list []*server, s *server, enter bool) []*server {
+	i, found := slices.BinarySearchFunc(list, s, byID)
+	switch {
+	case enter && !found:
+		return slices.Insert(list, i, s)
+	case !enter && found:
+		return slices.Delete(list, i, i+1)
+	}
+	return list
 }
 
 // started is what is known of a server that was started at the given time.
@@ -648,19 +772,30 @@
 	s := started(now, now)
 	s.Entry, s.grace = old.Entry, old.grace
 	b.servers[ev.Server] = s // attempts that are out keep their own hold on the old one
-	b.arrange()
+	b.arrange(s)
 	b.plan(now)
 }
 
-// arrange drops the servers that have left and puts the others in the order of their ids.
-func (b *Balancer) arrange() {
-	b.order = b.order[:0]
-	for id, s := range b.servers {
+// arrange drops servers that have left or were started anew, takes in others, and keeps all in order of ids.
+func (b *Balancer) arrange(others ...*server) {
+	all := append(b.order, others...)
+	b.order = all[:0]
+	for _, s := range all {
+		if b.servers[s.ID] != s {
+			continue
+		}
 		if s.State == Left {
-			delete(b.servers, id) // attempts that are out keep their own hold on it
+			delete(b.servers, s.ID) // attempts that are out keep their own hold on it
 		} else {
 			b.order = append(b.order, s)
 		}
 	}
-	slices.SortFunc(b.order, func(x, y *server) int { return cmp.Compare(x.ID, y.ID) })
+	clear(all[len(b.order):])
+	slices.SortFunc(b.order, byID)
+	b.zones, b.cells = map[string][]*server{}, map[int64][]*server{}
+	if len(b.order) > wide { // where draws ask for them
+		for _, s := range b.order {
+			b.zones[s.Zone], b.cells[s.Cell] = append(b.zones[s.Zone], s), append(b.cells[s.Cell], s)
+		}
+	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -206,7 +207,7 @@
 			s.own = 1
 			outcome(b, now, send, Full, Load{})
 		}
-		if r := b.limit(s); math.Abs(r-c.want) > 0.5 && r != c.want {
+		if r := s.limit(b, b.service(s)); math.Abs(r-c.want) > 0.5 && r != c.want {
 			t.Errorf("%s: R %v, want %v", c.name, r, c.want)
 		}
 	}
@@ -318,11 +319,11 @@
 	b := node(t, settings(), Entry{ID: 1, Zone: "a"})
 	s := b.servers[1]
 	s.latency, s.occupancy, s.typical = 100, 100, 1 // H by the aim alone is below 1
-	if h := b.high(s, b.limit(s)); h != minH {
+	if h := s.high(b, s.limit(b, b.service(s)), b.service(s)); h != minH {
 		t.Fatalf("H %.2f with no report, want its least", h)
 	}
 	outcome(b, t0, ask(b, t0, "r", "once"), OK, Load{Known: true, Queue: 3, Held: 7})
-	if h, r := b.high(s, b.limit(s)), b.limit(s); h != 4 || r <= h {
+	if h, r := s.high(b, s.limit(b, b.service(s)), b.service(s)), s.limit(b, b.service(s)); h != 4 || r <= h {
 		t.Errorf("H %.2f and R %.2f with 4 requests in work, want H at 4 and R beyond", h, r)
 	}
 	outcome(b, t0, ask(b, t0, "s", "once"), OK, Load{Known: true, Queue: 3, Held: -1})
@@ -1222,3 +1223,169 @@
 		t.Errorf("one of a new class: %+v", out)
 	}
 }
+
+// many are so many servers, dealt over three zones and cells of four.
+func many(n int) []Entry {
+	var all []Entry
+	for i := range n {
+		all = append(all, Entry{ID: uint32(i + 1), Zone: fmt.Sprint("z", i%3), Cell: int64(i / 4), Kind: "k"})
+	}
+	return all
+}
+
+// A long list is sampled: alike servers get alike shares, a crowded one gets little, one that is out gets nothing, and
+// where all but a few are full those few are found.
+func TestLongListsAreSampled(t *testing.T) {
+	const n, asks = 300, 60000
+	b := node(t, settings(), many(n)...)
+	now := t0
+	got := make([]int, n+1)
+	b.Handle(now, &Event{Kind: EvDisable, Server: 7}, nil)
+	for i := range asks {
+		fix(b.servers[9], now, 3)
+		a := ask(b, now, fmt.Sprint(i), "read")
+		if a.Kind != ActSend {
+			t.Fatalf("ask %d: %+v", i, a)
+		}
+		got[a.Server]++
+		b.Handle(now, &Event{Kind: EvOutcome, ID: fmt.Sprint(i), Server: a.Server, Outcome: OK, Last: true, Took: time.Millisecond,
+			Load: Load{Queue: -1, Held: -1}}, nil)
+		b.servers[a.Server].latency, b.servers[a.Server].occupancy = 0, 0 // so that they stay alike
+	}
+	zone := func(z int) (sum, least, most int) {
+		least = asks
+		for id := 1; id <= n; id++ {
+			if (id-1)%3 == z && id != 7 && id != 9 {
+				sum, least, most = sum+got[id], min(least, got[id]), max(most, got[id])
+			}
+		}
+		return
+	}
+	for z := range 3 {
+		sum, least, most := zone(z)
+		mean := float64(sum) / 99
+		if float64(least) < mean-6*math.Sqrt(mean) || float64(most) > mean+6*math.Sqrt(mean) {
+			t.Errorf("zone %d: alike servers got %d to %d, %.0f on average", z, least, most, mean)
+		}
+	}
+	if got[7] > 0 || got[9] > asks/n/10 {
+		t.Errorf("the one that is out got %d, the crowded one %d", got[7], got[9])
+	}
+	for id, s := range b.servers {
+		if id%20 != 0 {
+			fix(s, now, 1000)
+		}
+	}
+	sent := 0
+	for i := range 200 {
+		if a := ask(b, now, fmt.Sprint("x", i), "read"); a.Kind == ActSend && a.Server%20 == 0 {
+			sent++
+			b.Handle(now, &Event{Kind: EvOutcome, ID: fmt.Sprint("x", i), Server: a.Server, Outcome: OK, Last: true,
+				Took: time.Millisecond, Load: Load{Queue: -1, Held: -1}}, nil)
+		} else if a.Kind == ActSend {
+			t.Fatalf("sent to %d, which is full", a.Server)
+		}
+	}
+	if sent < 180 { // one server in twenty has room: of 72 that are looked at, some in 97% of draws
+		t.Errorf("only %d of 200 found a server with room", sent)
+	}
+}
+
+// A change of a few lines of a long list is taken in as a whole list would be.
+func TestChangesOfLongLists(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	entries := many(200)
+	b := node(t, settings(), entries...)
+	now := t0
+	for i := range 500 {
+		now += time.Millisecond
+		e := &entries[rng.IntN(len(entries))]
+		switch rng.IntN(4) {
+		case 0:
+			e.State = Leaving
+		case 1:
+			e.State = Left
+		case 2:
+			e.State, e.Launched = Active, now
+		default:
+			e.State = Active
+		}
+		b.Handle(now, &Event{Kind: EvList, List: ListDelta, Entries: []Entry{*e}}, nil)
+		if i%50 != 0 {
+			continue
+		}
+		zones, cells := 0, 0
+		for _, s := range b.order {
+			if b.servers[s.ID] != s || s.Entry != entries[s.ID-1] || !slices.Contains(b.zones[s.Zone], s) ||
+				!slices.Contains(b.cells[s.Cell], s) || s.kin == nil || s.typical == 0 {
+				t.Fatalf("after %d changes: %+v", i, s)
+			}
+		}
+		for _, l := range b.zones {
+			zones += len(l)
+		}
+		for _, l := range b.cells {
+			cells += len(l)
+		}
+		listed := 0
+		for _, e := range entries {
+			if e.State != Left {
+				listed++
+			}
+		}
+		if len(b.order) != listed || len(b.servers) != listed || zones != listed || cells != listed || !slices.IsSortedFunc(b.order, byID) {
+			t.Fatalf("after %d changes: %d in order, %d known, %d in zones, %d in cells, of %d", i, len(b.order), len(b.servers), zones, cells, listed)
+		}
+	}
+}
+
+// A keyed request that may have run is sent again only within its cell, also where the list is long.
+func TestRepeatsStayInTheirCellOfALongList(t *testing.T) {
+	b := node(t, settings(func(s *Settings) {
+		s.Classes = append(s.Classes, Class{Name: "podded", Deadline: 10 * time.Second, Aim: 5 * time.Second, Worth: 1, Effect: Keyed,
+			Group: GroupCell, Window: 5 * time.Second})
+	}), many(400)...)
+	again := 0
+	for i := range 200 {
+		id := fmt.Sprint(i)
+		first := last(b.Handle(t0, &Event{Kind: EvRequest, ID: id, Class: "podded", Left: 5 * time.Second}, nil))
+		next := last(b.Handle(t0+time.Millisecond, &Event{Kind: EvOutcome, ID: id, Server: first.Server, Outcome: Reset,
+			Load: Load{Queue: -1, Held: -1}}, nil))
+		if next.Kind == ActSend {
+			again++
+			if (next.Server-1)/4 != (first.Server-1)/4 {
+				t.Fatalf("may have run at %d, sent again to %d", first.Server, next.Server)
+			}
+		}
+	}
+	if again == 0 {
+		t.Error("nothing was sent again")
+	}
+}
+
+// A request with a cell goes nowhere else, its further attempts neither; with an empty one it is refused at once.
+func TestAmong(t *testing.T) {
+	for _, n := range []int{10, 300} {
+		b := node(t, settings(), many(n)...)
+		cell := []uint32{2, 5, 9}
+		for i := range 50 {
+			id := fmt.Sprint(i)
+			a := last(b.Handle(t0, &Event{Kind: EvRequest, ID: id, Class: "read", Left: time.Second, Among: cell}, nil))
+			for range 3 {
+				if a.Kind != ActSend {
+					break
+				}
+				if !slices.Contains(cell, a.Server) {
+					t.Fatalf("sent to %d", a.Server)
+				}
+				a = last(b.Handle(t0, &Event{Kind: EvOutcome, ID: id, Server: a.Server, Attempt: a.Attempt, Outcome: Full,
+					Load: Load{Queue: -1, Held: -1}}, nil))
+			}
+		}
+		for _, empty := range [][]uint32{{}, {4000}} {
+			if a := last(b.Handle(t0, &Event{Kind: EvRequest, ID: "none", Class: "read", Left: time.Second, Among: empty}, nil)); a.Kind != ActRefuse {
+				t.Errorf("among %v: %+v", empty, a)
+			}
+		}
+	}
+}
--- a/policy/scale_test.go
+++ b/policy/scale_test.go
@@ -12,6 +12,7 @@
 func BenchmarkRequest(b *testing.B) {
 	for _, servers := range []int{12, 120, 1200, 12000} {
 		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			b.ReportAllocs()
 			node, err := policy.New(testSettings(1, false), 1)
 			if err != nil {
 				b.Fatal(err)
@@ -23,11 +24,15 @@
 			}
 			node.Handle(now, &ev, nil)
 			var out []policy.Action
+			names := make([]string, 1024)
+			for i := range names {
+				names[i] = fmt.Sprint(i)
+			}
 			id := 0
 			for b.Loop() {
 				id++
 				now += ms
-				name := fmt.Sprint(id)
+				name := names[id%len(names)]
 				out = node.Handle(now, &policy.Event{Kind: policy.EvRequest, ID: name, Class: "read", Left: time.Second}, out[:0])
 				for _, a := range out {
 					if a.Kind == policy.ActSend {
@@ -40,3 +45,35 @@
 		})
 	}
 }
+
+// BenchmarkList is the time for which a list holds up requests: a whole one, taken in anew, and a change of one entry.
+func BenchmarkList(b *testing.B) {
+	for _, servers := range []int{12, 120, 1200, 12000} {
+		node, err := policy.New(testSettings(1, false), 1)
+		if err != nil {
+			b.Fatal(err)
+		}
+		now := time.Hour
+		whole := policy.Event{Kind: policy.EvList, List: policy.ListFull}
+		for i := range servers {
+			whole.Entries = append(whole.Entries, policy.Entry{ID: uint32(i + 1), Zone: fmt.Sprint(i % 3), Kind: "k"})
+		}
+		var out []policy.Action
+		b.Run(fmt.Sprintf("whole/servers=%d", servers), func(b *testing.B) {
+			for b.Loop() {
+				now += ms
+				out = node.Handle(now, &whole, out[:0])
+			}
+		})
+		b.Run(fmt.Sprintf("one/servers=%d", servers), func(b *testing.B) {
+			i := 0
+			for b.Loop() {
+				now += ms
+				i++
+				e := whole.Entries[i%servers]
+				e.State = policy.State(i / servers % 2) // active, leaving
+				out = node.Handle(now, &policy.Event{Kind: policy.EvList, List: policy.ListDelta, Entries: []policy.Entry{e}}, out[:0])
+			}
+		})
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -34,11 +34,12 @@
 type request struct {
 	id       string
 	class    *class
-	lesser   bool    // diverted first
-	borrowed bool    // diverted always
-	until    float64 // when the client gives up
-	aim      float64 // when its answer stops being worth anything
-	most     int     // attempts that were allowed when it came
+	lesser   bool     // diverted first
+	borrowed bool     // diverted always
+	among    []uint32 // its cell; nil: all
+	until    float64  // when the client gives up
+	aim      float64  // when its answer stops being worth anything
+	most     int      // attempts that were allowed when it came
 	attempts []attempt
 	open     int     // attempts without an outcome
 	final    bool    // the client has its answer; nothing more may be sent
@@ -47,12 +48,22 @@
 	avoid    *server // the backend just tried: not twice in a row
 }
 
+// kind is what is known of all backends of one kind together, as of the latest plan.
+type kind struct {
+	latency, occupancy, served, warm, work, told float64 // sums
+	typical, chance, base                        float64 // what each of them has of that
+}
+
 type server struct {
 	Entry
-	launched  float64
-	grace     float64 // not listed any more, but used until then: the list came empty
-	disabled  bool    // taken out by operators
+	// What each draw reads stands together: of thousands none is in the processor's cache.
 	mode      mode
+	disabled  bool    // taken out by operators
+	trial     bool    // one attempt at a time until one succeeds
+	near      bool    // in this node's own zone
+	grace     float64 // not listed any more, but used until then: the list came empty
+	ejected   float64 // nothing is sent until then
+	launched  float64
 	own       float64 // this node's attempts in flight
 	ownLag    float64 // the same, at about the time of the latest report
 	ownAt     float64
@@ -65,15 +76,15 @@
 	latency   float64 // decayed sum of latencies,
 	occupancy float64 // and of the occupancies plus one that they were met at
 	typical   float64 // service time of its kind
+	chance    float64 // while cold: part of this node's picks that a warm one of its kind serves
+
+	kin       *kind
 	lastOK    float64
 	work      float64 // reported time in work, smoothed,
 	base      float64 // and the least that its kind's mean has been
 	bad       float64 // share of failures lately
 	ejections int     // ejections in a row
-	ejected   float64 // nothing is sent until then,
-	trial     bool    // then one attempt at a time until one succeeds
 	served    float64 // decayed count of answers; sends would also count what a crowded backend turns away
-	chance    float64 // while cold: part of this node's picks that a warm one of its kind serves
 }
 
 // Balancer is the state of one node. It is not safe for concurrent use.
@@ -84,8 +95,13 @@
 	half     float64 // half the shortest told deadline, infinite when none was told
 	classes  []*class
 	servers  map[uint32]*server
-	order    []*server // sorted by id
+	order    []*server            // sorted by id
+	cell     []*server            // of the draw under way
+	zones    map[string][]*server // the same by zone,
+	cells    map[int64][]*server  // and by cell, where the list is long
+	kinds    map[string]*kind
 	requests map[string]*request
+	over     []*request // done with, to be used again
 	tenants  []*tenant
 	part     float64 // this node's part of all traffic
 	helds    bool    // the latest report told how many requests its server holds
