--- a/internal/lab/model/model_test.go
+++ b/internal/lab/model/model_test.go
@@ -482,3 +482,39 @@
 		t.Errorf("%d tenants lose with cells, %d without", with, without)
 	}
 }
+
+// What befalls cells: all of one cold at once, nearly all of one gone, a third of the fleet flapping, two tenants heavy at the
+// same time, a roster that tells nothing meanwhile. The rules are kept, the cold ones above all, and most is served again once it
+// is over.
+func TestCellsInTrouble(t *testing.T) {
+	sec := time.Second
+	for _, c := range []struct {
+		name   string
+		faults []scenario.Fault
+	}{
+		{"all cold", []scenario.Fault{{Kind: "cold", At: 10 * sec, Share: 1}}},
+		{"one in ten is left", []scenario.Fault{{Kind: "vanish", At: 8 * sec, For: 6 * sec, Share: 0.9}}},
+		{"a third flaps", []scenario.Fault{{Kind: "drain", At: 8 * sec, For: 2 * sec, Share: 0.34}, {Kind: "drain", At: 11 * sec, For: 2 * sec, Share: 0.34},
+			{Kind: "crash", At: 14 * sec, For: sec, Share: 0.34}}},
+		{"two tenants are heavy", []scenario.Fault{{Kind: "heavy", At: 8 * sec, For: 8 * sec, Part: 1, Factor: 5, Tenant: "valley"},
+			{Kind: "heavy", At: 8 * sec, For: 8 * sec, Part: 1, Factor: 5, Tenant: "panhandle"}}},
+		{"cold while the roster is out and nodes restart", []scenario.Fault{{Kind: "roster_down", At: 7 * sec, For: 8 * sec},
+			{Kind: "cold", At: 9 * sec, Share: 0.5}, {Kind: "node_roll", At: 10 * sec, For: 2 * sec, Share: 1, Delay: 500 * time.Millisecond}}},
+	} {
+		for seed := range uint64(3) {
+			s := library(t, "poison")
+			s.Seed, s.Duration, s.Faults = seed+1, 30*time.Second, c.faults
+			r := run(t, s, Portstall)
+			if r.BrokenTotal() > 0 {
+				t.Errorf("%s, seed %d: %v\n%s", c.name, s.Seed, r.Broken, r.Breaches[0])
+			}
+			late, asked := 0.0, 0.0
+			for _, v := range r.Series[len(r.Series)-6:] {
+				late, asked = late+v.Earned, asked+v.Offered
+			}
+			if late < 0.8*asked {
+				t.Errorf("%s, seed %d: at the end %.2f of the worth is served", c.name, s.Seed, late/asked)
+			}
+		}
+	}
+}
