--- a/policy/policy.go
+++ b/policy/policy.go
@@ -508,11 +508,25 @@
 		}
 		part = sample / float64(n)
 	}
-	for i := 0; i < n; i, at = i+1, (at+step)%n {
+	first := 0
+	if n > wide { // those that did well lately are looked at each time
+		first = -len(b.lately)
+	}
+	for i := first; i < n; i++ {
 		if n > wide && i > 0 && i%sample == 0 && (chosen != nil || i == mostLook) {
 			break
 		}
-		s := from[at]
+		var s *server
+		if i < 0 {
+			if s = b.lately[-1-i]; s == nil || b.servers[s.ID] != s || b.ramp(s, now) < 1 {
+				continue
+			}
+		} else {
+			s, at = from[at], (at+step)%n
+			if n > wide && slices.Contains(b.lately[:], s) && b.ramp(s, now) == 1 {
+				continue // it was looked at
+			}
+		}
 		occupancy, service := s.update(now, b)
 		if s.mode > worst || !b.usable(now, r, s) {
 			continue
@@ -523,7 +537,7 @@
 			// rest is for bursts and for backends slower than their kind. Nothing is saved up: budgets that
 			// hundreds of nodes begin at the same start would come due together.
 			// One that is looked at by chance has its share of that chance.
-			if i < max(sample, wide) && b.rng.Float64() < s.chance*ramp*b.set.FallFactor*coldPart/part {
+			if (n <= wide || i < sample) && b.rng.Float64() < s.chance*ramp*b.set.FallFactor*coldPart/part {
 				return s
 			}
 			// It may also take what nobody else does while it has nothing: with one attempt of each of a few
@@ -548,6 +562,9 @@
 			chosen = s
 		}
 	}
+	if n > wide && chosen != nil && !slices.Contains(b.lately[:], chosen) {
+		b.lately[b.rng.IntN(len(b.lately))] = chosen
+	}
 	return cmp.Or(chosen, spare)
 }
 
