Keep to cells longer than 24, and take an unknown kind for the whole fleet's

A cell longer than 24 is sampled, and the servers drawn lately for other tenants were then looked at too: a request could leave its cell. A server of a kind that a long list did not have took any kind's figures, by a map's order, so that runs differed. Both mended, with a test each that failed before.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -501,16 +501,15 @@
 	var chosen, spare *server
 	sum := 0.0
 	b.picks++
-	from, step, at, part := b.candidates(r), 1, 0, 1.0
-	n := len(from)
+	from := b.candidates(r)
+	first, at, step, part, n := 0, 0, 1, 1.0, len(from)
 	if n > wide { // each is as likely to be looked at as any other, and none twice
-		for at = b.rng.IntN(n); step == 1 || gcd(step, n) > 1; step = 1 + b.rng.IntN(n-1) {
+		for at, step = b.rng.IntN(n), n; gcd(step, n) > 1; step = 1 + b.rng.IntN(n-1) {
 		}
 		part = sample / float64(n)
-	}
-	first := 0
-	if n > wide { // those that did well lately are looked at each time
-		first = -len(b.lately)
+		if r.among == nil { // those that did well lately are looked at each time; a cell may not have them
+			first = -len(b.lately)
+		}
 	}
 	for i := first; i < n; i++ {
 		if n > wide && i > 0 && i%sample == 0 && (chosen != nil || i == mostLook) {
@@ -523,7 +522,7 @@
 			}
 		} else {
 			s, at = from[at], (at+step)%n
-			if n > wide && slices.Contains(b.lately[:], s) && b.ramp(s, now) == 1 {
+			if first < 0 && slices.Contains(b.lately[:], s) && b.ramp(s, now) == 1 {
 				continue // it was looked at
 			}
 		}
@@ -562,7 +561,7 @@
 			chosen = s
 		}
 	}
-	if n > wide && chosen != nil && !slices.Contains(b.lately[:], chosen) {
+	if first < 0 && chosen != nil && !slices.Contains(b.lately[:], chosen) {
 		b.lately[b.rng.IntN(len(b.lately))] = chosen
 	}
 	return cmp.Or(chosen, spare)
@@ -601,7 +600,7 @@
 // plan runs a few times a second: it ages what was learnt and renews what the requests then use.
 func (b *Balancer) plan(now float64) {
 	all := &kind{}
-	b.kinds = map[string]*kind{}
+	b.fleet, b.kinds = all, map[string]*kind{}
 	dt := max(now-b.planAt, 1e-3)
 	b.planAt = now
 	f, wider, fewer := math.Exp(-dt/rateTau), math.Exp(dt/oldTau), math.Exp(-dt/slotTau)
@@ -632,19 +631,9 @@
 		}
 	}
 	fleet := (all.latency + prior*guess) / (all.occupancy + prior)
+	all.settle(b, all, fleet)
 	for _, k := range b.kinds {
-		k.typical = (k.latency + prior*fleet) / (k.occupancy + prior)
-		k.base = math.Inf(1)
-		if k.told > 0 {
-			k.base = k.work / k.told
-		}
-		k.chance = b.span / k.typical / float64(b.set.Nodes) // one after the other, where no backend is warm
-		if k.warm > 0 {
-			k.chance = k.served / k.warm
-		} else if all.warm > 0 {
-			k.chance = all.served / all.warm / 2 // its kind may be the slower one
-		}
-		k.chance /= b.picks + 1
+		k.settle(b, all, fleet)
 	}
 	own, others := 1.0, float64(b.set.Nodes-1) // what this node and the others have in flight
 	for _, s := range b.order {
@@ -659,6 +648,22 @@
 	b.shares(math.Exp(-dt / oldTau))
 }
 
+// settle works out what each backend of a kind has of its sums; all is the fleet's kind.
+func (k *kind) settle(b *Balancer, all *kind, fleet float64) {
+	k.typical = (k.latency + prior*fleet) / (k.occupancy + prior)
+	k.base = math.Inf(1)
+	if k.told > 0 {
+		k.base = k.work / k.told
+	}
+	k.chance = b.span / k.typical / float64(b.set.Nodes) // one after the other, where no backend is warm
+	if k.warm > 0 {
+		k.chance = k.served / k.warm
+	} else if all.warm > 0 {
+		k.chance = all.served / all.warm / 2 // its kind may be the slower one
+	}
+	k.chance /= b.picks + 1
+}
+
 // take takes over what is known of a backend's kind, and of where it is.
 func (s *server) take(b *Balancer) {
 	s.typical, s.chance, s.base = s.kin.typical, s.kin.chance, min(s.base, s.kin.base)
@@ -744,10 +749,8 @@
 		delete(b.servers, s.ID)
 		return
 	}
-	if s.kin = b.kinds[s.Kind]; s.kin == nil { // for the moment as any other
-		for _, s.kin = range b.kinds {
-			break
-		}
+	if s.kin = b.kinds[s.Kind]; s.kin == nil { // for the moment as all together
+		s.kin = b.fleet
 	}
 	s.take(b)
 	b.file(s, true)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1363,6 +1363,45 @@
 	}
 }
 
+// A cell that is itself a long list is kept to as well, whatever was drawn lately for others.
+func TestAmongMany(t *testing.T) {
+	b := node(t, settings(), many(300)...)
+	var cell []uint32
+	for id := uint32(1); id <= 40; id++ {
+		cell = append(cell, id)
+	}
+	for i := range 600 {
+		id, among := fmt.Sprint(i), cell
+		if i%2 == 0 {
+			among = nil
+		}
+		a := last(b.Handle(t0, &Event{Kind: EvRequest, ID: id, Class: "read", Left: time.Second, Among: among}, nil))
+		if among != nil && a.Server > 40 {
+			t.Fatalf("request %d with a cell of the first 40 went to %d", i, a.Server)
+		}
+		b.Handle(t0, &Event{Kind: EvOutcome, ID: id, Server: a.Server, Outcome: OK, Last: true, Took: time.Millisecond,
+			Load: Load{Queue: -1, Held: -1}}, nil)
+	}
+}
+
+// A server of a kind that a long list did not have is taken for one of the whole fleet, the same on every run.
+func TestUnknownKindOfALongList(t *testing.T) {
+	entries := many(60)
+	for i := range entries {
+		entries[i].Kind = fmt.Sprint("k", i%7)
+	}
+	for range 20 {
+		b := node(t, settings(), entries...)
+		for i, k := range []string{"k0", "k1", "k2", "k3", "k4", "k5", "k6"} {
+			b.kinds[k].typical = float64(i)
+		}
+		b.Handle(t0, &Event{Kind: EvList, List: ListDelta, Entries: []Entry{{ID: 900, Zone: "z1", Kind: "new"}}}, nil)
+		if s := b.servers[900]; s.kin != b.fleet || s.typical != b.fleet.typical {
+			t.Fatalf("taken for one of %+v", s.kin)
+		}
+	}
+}
+
 // A request with a cell goes nowhere else, its further attempts neither; with an empty one it is refused at once.
 func TestAmong(t *testing.T) {
 	for _, n := range []int{10, 300} {
--- a/policy/state.go
+++ b/policy/state.go
@@ -96,11 +96,12 @@
 	classes  []*class
 	servers  map[uint32]*server
 	order    []*server            // sorted by id
-	lately   [16]*server          // some that were drawn lately from a long list
+	lately   [8]*server           // some that were drawn lately from a long list
 	cell     []*server            // of the draw under way
 	zones    map[string][]*server // the same by zone,
 	cells    map[int64][]*server  // and by cell, where the list is long
 	kinds    map[string]*kind
+	fleet    *kind // all of them together
 	requests map[string]*request
 	over     []*request // done with, to be used again
 	tenants  []*tenant
