--- a/cmd/portstall/main_test.go
+++ b/cmd/portstall/main_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -15,6 +14,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"portstall/internal/lab/standin"
 )
 
 const settings = `{"balancers":1,"zone":"n","discovery":"push","grades":[{"name":"a","aim_s":20,"deadline_s":60,` +
@@ -45,12 +46,11 @@
 // kernel hands out ports in turn, so that this is as good as never.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := standin.FreeAddr()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	return addr
 }
 
 func TestStartsServesAndLeaves(t *testing.T) {
--- a/internal/back/tunnel/opaque.go
+++ b/internal/back/tunnel/opaque.go
@@ -10,10 +10,9 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"portstall/internal/back"
 	"portstall/internal/core"
+	"portstall/internal/flow"
 	"portstall/internal/message"
 	"portstall/policy"
 )
@@ -41,17 +40,17 @@
 type Back struct {
 	Core *core.Core
 	Pool *back.Pool
+	Away func() bool // whether the node drains, or leaves
 
 	mu    sync.Mutex
-	away  bool // the node drains, or leaves
 	open  map[*Tunnel]struct{}
 	ended map[Cause]uint64
 	bytes uint64 // of tunnels that have ended, both ways
 }
 
 // New returns a back with no tunnels.
-func New(c *core.Core, p *back.Pool) *Back {
-	return &Back{Core: c, Pool: p, open: map[*Tunnel]struct{}{}, ended: map[Cause]uint64{}}
+func New(c *core.Core, p *back.Pool, away func() bool) *Back {
+	return &Back{Core: c, Pool: p, Away: away, open: map[*Tunnel]struct{}{}, ended: map[Cause]uint64{}}
 }
 
 // Tunnel is a message.Tunnel: a connection to a server for one client.
@@ -108,7 +107,7 @@
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		b.open[t] = struct{}{}
-		if b.away { // it was asked for just before
+		if b.Away() { // it was asked for just before
 			t.drain()
 		}
 		return nil
@@ -126,8 +125,8 @@
 	case <-t.over:
 	case <-ctx.Done():
 		t.end(Closing)
+		<-t.over // whoever else ends it may still be at it
 	}
-	<-t.over
 	server.Heard.Add(1)
 	res := core.Result{Outcome: policy.OK, First: first, Load: policy.Load{Queue: -1, Held: -1}}
 	t.mu.Lock()
@@ -214,10 +213,10 @@
 	}
 }
 
-// Drain gives the tunnels to a server their drain limit; where it is nil, all tunnels, and those that come until Resume.
+// Drain gives the tunnels to a server their drain limit, or all tunnels where it is nil. One that comes to stand while the node
+// is Away has its limit from the start.
 func (b *Back) Drain(s *back.Server) {
 	b.mu.Lock()
-	b.away = b.away || s == nil
 	var to []*Tunnel
 	for t := range b.open {
 		if s == nil || t.server == s {
@@ -230,13 +229,6 @@
 	}
 }
 
-// Resume ends a drain of the node. Tunnels that have their drain limit keep it.
-func (b *Back) Resume() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.away = false
-}
-
 // Stats is what the tunnels have come to.
 type Stats struct {
 	Open  int
@@ -291,7 +283,7 @@
 	}
 	for {
 		// While nothing comes, no pipe and no buffer is held, and what has come is passed on without waiting for more.
-		there, err := readable(src)
+		there, err := flow.Readable(src)
 		if err != nil {
 			t.end(broken(true))
 			return
@@ -358,26 +350,3 @@
 		return nil
 	}
 }
-
-// readable waits until a connection has bytes, or its end, to be read, and tells how many there are; none: it is the end.
-func readable(c net.Conn) (there int, err error) {
-	s, ok := c.(syscall.Conn)
-	if !ok {
-		return 0, nil // the copy waits, byte by byte
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	var broke error
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, broke = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		if broke == syscall.EAGAIN {
-			return false
-		}
-		there, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ)
-		return true
-	})
-	return there, errors.Join(err, broke) // the socket tells of its error once
-}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -129,10 +129,27 @@
 	return out, nil
 }
 
-// Way makes a proxy ready for use. The pattern is one for filepath.Match. An error is a *FieldError.
-func (t *Tunnels) Way(i int) (pattern string, way backtunnel.Proxy, err error) {
-	p, path := t.Proxies[i], fmt.Sprintf("tunnels.proxies[%d].", i)
-	way = backtunnel.Proxy{Kind: backtunnel.SOCKS5, Addr: p.SOCKS5, User: p.User, Password: p.Password}
+// Way is how the web servers are reached whose ids fit a pattern.
+type Way struct {
+	Servers string // as filepath.Match has it
+	Proxy   backtunnel.Proxy
+}
+
+// Ways makes the proxies ready for use. An error is a *FieldError.
+func (t *Tunnels) Ways() ([]Way, error) {
+	var ways []Way
+	for i := range t.Proxies {
+		w, err := t.Proxies[i].way(fmt.Sprintf("tunnels.proxies[%d].", i))
+		if err != nil {
+			return nil, err
+		}
+		ways = append(ways, w)
+	}
+	return ways, nil
+}
+
+func (p *Proxy) way(path string) (Way, error) {
+	way := backtunnel.Proxy{Kind: backtunnel.SOCKS5, Addr: p.SOCKS5, User: p.User, Password: p.Password}
 	field := "socks5"
 	if p.Connect != "" {
 		way.Kind, way.Addr, field = backtunnel.Connect, p.Connect, "connect"
@@ -140,16 +157,16 @@
 	_, _, bad := net.SplitHostPort(way.Addr)
 	switch {
 	case (p.SOCKS5 == "") == (p.Connect == ""):
-		return "", way, &FieldError{path + "socks5", "one of socks5 and connect is needed"}
+		return Way{}, &FieldError{path + "socks5", "one of socks5 and connect is needed"}
 	case bad != nil:
-		return "", way, &FieldError{path + field, fmt.Sprintf("%q is not host:port", way.Addr)}
+		return Way{}, &FieldError{path + field, fmt.Sprintf("%q is not host:port", way.Addr)}
 	case len(p.User) > 255 || len(p.Password) > 255 || strings.Contains(p.User, ":"):
-		return "", way, &FieldError{path + "user", "user or password is longer than 255 bytes, or the user has a colon"}
+		return Way{}, &FieldError{path + "user", "user or password is longer than 255 bytes, or the user has a colon"}
 	}
 	if _, err := filepath.Match(p.Servers, ""); err != nil || p.Servers == "" {
-		return "", way, &FieldError{path + "servers", fmt.Sprintf("%q is no pattern", p.Servers)}
+		return Way{}, &FieldError{path + "servers", fmt.Sprintf("%q is no pattern", p.Servers)}
 	}
-	return p.Servers, way, nil
+	return Way{p.Servers, way}, nil
 }
 
 // Table makes the routes and users ready. An error is a *FieldError.
@@ -182,10 +199,8 @@
 		}
 		routes = append(routes, r)
 	}
-	for i := range t.Proxies {
-		if _, _, err := t.Way(i); err != nil {
-			return nil, err
-		}
+	if _, err := t.Ways(); err != nil {
+		return nil, err
 	}
 	table, err := tunnel.NewTable(routes, users)
 	if err != nil {
--- a/internal/flow/socket.go
+++ b/internal/flow/socket.go
@@ -1,9 +1,12 @@
 package flow
 
 import (
+	"errors"
 	"net"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // WriteStall is how long a write may wait for the other side to read, before the connection is given up.
@@ -41,9 +44,7 @@
 	}
 	w := Ended
 	raw.Control(func(fd uintptr) { // an error means that it is closed here
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
+		switch n, err := peek(fd); {
 		case n > 0:
 			w = BytesThere
 		case err == syscall.EAGAIN:
@@ -52,3 +53,32 @@
 	})
 	return w
 }
+
+// peek looks for a first byte. A socket tells of its error once: it is lost to whoever reads next.
+func peek(fd uintptr) (int, error) {
+	var b [1]byte
+	n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n, err
+}
+
+// Readable waits until a connection has bytes, or its end, to be read, and tells how many there are; none: it is the end.
+// Of one that is no socket it tells nothing: whoever reads from it waits.
+func Readable(c net.Conn) (there int, err error) {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return 0, nil
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var broke error
+	err = raw.Read(func(fd uintptr) bool {
+		if _, broke = peek(fd); broke == syscall.EAGAIN {
+			return false
+		}
+		there, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ)
+		return true
+	})
+	return there, errors.Join(err, broke)
+}
--- a/internal/front/http/clients.go
+++ b/internal/front/http/clients.go
@@ -24,9 +24,7 @@
 )
 
 const (
-	// HeadSize bounds the head of a request, in bytes.
-	HeadSize = 16 << 10
-	maxID    = 256
+	maxID = 256
 	// A client is owed an error or a close within 3 s of connecting, whatever it sends or doesn't.
 	HeadTime  = 2500 * time.Millisecond // for a first request's head from the connection's start, for others from its first byte
 	BodyStall = 2 * time.Second         // for further bytes of a body
@@ -108,7 +106,7 @@
 			}
 			return err
 		}
-		s.Go(func() { s.Serve(socket, bufio.NewReaderSize(socket, HeadSize), "") })
+		s.Go(func() { s.Serve(socket, bufio.NewReaderSize(socket, message.HeadSize), "") })
 	}
 }
 
@@ -132,7 +130,7 @@
 func (s *Front) Leave() { <-s.slots }
 
 // Serve answers the requests of one connection, for which the caller holds a slot, until it is closed. What in has read
-// ahead counts; it has a buffer of HeadSize. User is whom a tunnel was opened for, empty for none.
+// ahead counts; it has a buffer of message.HeadSize. User is whom a tunnel was opened for, empty for none.
 func (s *Front) Serve(socket net.Conn, in *bufio.Reader, user string) {
 	c := &conn{Conn: socket, start: time.Now(), in: in, user: user}
 	c.since = c.start
--- a/internal/front/http/fuzz_test.go
+++ b/internal/front/http/fuzz_test.go
@@ -14,6 +14,7 @@
 
 	"portstall/internal/core"
 	"portstall/internal/flow"
+	"portstall/internal/message"
 	"portstall/policy"
 )
 
@@ -62,7 +63,7 @@
 		s := New(Options{Core: c, Budget: budget, Limit: 1, Away: func() bool { return false }, Ready: func() int { return 200 },
 			Fits: func(*stdhttp.Request) error { return nil }})
 		sock := &canned{Reader: pieces{bytes.NewReader(text), max(1, piece&0xff)}}
-		k := &conn{Conn: sock, start: time.Now(), in: bufio.NewReaderSize(sock, HeadSize)}
+		k := &conn{Conn: sock, start: time.Now(), in: bufio.NewReaderSize(sock, message.HeadSize)}
 		for range 8 {
 			r, no := s.read(k)
 			if r == nil || no != nil {
--- a/internal/front/http/head_test.go
+++ b/internal/front/http/head_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+
+	"portstall/internal/message"
 )
 
 func TestHeads(t *testing.T) {
@@ -25,7 +27,7 @@
 		} else if two := twoFramings([]byte(c.text[:n])); two != c.two {
 			t.Errorf("%q: two framings %v", c.text, two)
 		}
-		cl := &conn{in: bufio.NewReaderSize(iotest.OneByteReader(strings.NewReader(c.text)), HeadSize)}
+		cl := &conn{in: bufio.NewReaderSize(iotest.OneByteReader(strings.NewReader(c.text)), message.HeadSize)}
 		if head, err := cl.head(); c.end > 0 && string(head) != c.text[:c.end] || (err == nil) != (c.end > 0) {
 			t.Errorf("%q byte by byte: %q, %v", c.text, head, err)
 		}
--- a/internal/front/tunnel/front.go
+++ b/internal/front/tunnel/front.go
@@ -19,7 +19,6 @@
 const (
 	openTime = 5 * time.Second // a client may take over asking for its tunnel,
 	openMost = 64              // so many may be at it; the next waits to be accepted
-	headSize = 16 << 10        // bytes that are read ahead at most
 )
 
 // Options are what a front is made of. Its functions are called from many goroutines.
@@ -90,7 +89,7 @@
 // taken for it.
 func (f *Front) open(conn net.Conn, read Opener) (*bufio.Reader, *Opening) {
 	conn.SetDeadline(time.Now().Add(openTime))
-	in := bufio.NewReaderSize(conn, headSize)
+	in := bufio.NewReaderSize(conn, message.HeadSize)
 	o, err := read(in, conn, f.Table)
 	if err != nil {
 		f.Log.Info("no tunnel was opened", "client", conn.RemoteAddr(), "err", err)
--- a/internal/lab/rig/node.go
+++ b/internal/lab/rig/node.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -39,17 +38,6 @@
 	log     bytes.Buffer
 }
 
-// freeAddr is an address on which nothing listens. Another process may take it before the node does; the kernel hands
-// out ports in turn, so that this is as good as never.
-func freeAddr() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
-}
-
 // start runs the node and returns once it takes clients.
 func (n *node) start(ctx context.Context) error {
 	rig := n.rig
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -110,18 +110,18 @@
 		return err
 	}
 	for i := range r.s.Nodes {
-		addr, err := freeAddr()
+		addr, err := standin.FreeAddr()
 		if err != nil {
 			return err
 		}
 		n := &node{rig: r, index: i, addr: addr}
 		if r.s.Clients.Via != "" {
-			if n.tunnels, err = freeAddr(); err != nil {
+			if n.tunnels, err = standin.FreeAddr(); err != nil {
 				return err
 			}
 		}
 		if slices.ContainsFunc(r.s.Classes, func(c scenario.Class) bool { return c.Stands > 0 }) {
-			if n.opaque, err = freeAddr(); err != nil {
+			if n.opaque, err = standin.FreeAddr(); err != nil {
 				return err
 			}
 			if r.s.Clients.Via == "connect" { // one listener does for both
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -11,6 +11,9 @@
 // Max is how large a request's or an answer's body may be, in bytes.
 const Max = 32 << 20
 
+// HeadSize bounds the head of a request, in bytes, and with it what any front reads ahead.
+const HeadSize = 16 << 10
+
 // ErrTooLarge says that a body is larger than Max.
 var ErrTooLarge = errors.New("too large a body")
 
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -83,7 +83,6 @@
 
 func (n *node) resume() {
 	if n.life.enter(serving) {
-		n.opaque.Resume()
 		n.log.Info("resumed by hand")
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	backhttp "portstall/internal/back/http"
 	backtunnel "portstall/internal/back/tunnel"
 	"portstall/internal/cell"
+	"portstall/internal/config"
 	"portstall/internal/core"
 	"portstall/internal/flow"
 	fronthttp "portstall/internal/front/http"
@@ -60,7 +61,8 @@
 	nextNum  uint32
 	version  int64 // of the list
 	cells    cells
-	ready    bool // some backend is listed as ready
+	ways     []config.Way // to web servers behind proxies; not changed after the start
+	ready    bool         // some backend is listed as ready
 }
 
 // backend is one web server as the roster knows it. All but the server itself is guarded by the core's lock.
@@ -161,12 +163,18 @@
 		}
 		n.cells.now = cell.New(plan)
 	}
+	if cfg.Product != nil && cfg.Product.Tunnels != nil {
+		if n.ways, err = cfg.Product.Tunnels.Ways(); err != nil {
+			n.core.Close()
+			return nil, nil, err
+		}
+	}
 	n.set.Store(newSettings(cfg.Settings))
 	n.pool = back.NewPool(cfg.poolLimit(), cfg.Settings.ConnectTimeout, cfg.Settings.ConnIdle)
 	n.budget = flow.NewBudget(cfg.bodyBytes())
 	n.http = backhttp.Back{Core: n.core, Pool: n.pool, Budget: n.budget, Log: log,
 		Reports: func() bool { return n.set.Load().Reports }}
-	n.opaque = backtunnel.New(n.core, n.pool)
+	n.opaque = backtunnel.New(n.core, n.pool, n.life.sendsAway)
 	n.clients = fronthttp.New(fronthttp.Options{Core: n.core, Budget: n.budget, Limit: cfg.clientLimit(), Away: n.life.sendsAway,
 		Ready: n.readiness, Fits: func(r *http.Request) error { return n.set.Load().fits(r) }})
 	n.pair.succeeded, n.pair.stopped = make(chan struct{}), make(chan struct{})
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -148,7 +148,7 @@
 		{"another protocol", strings.Replace(save("x").text(), "HTTP/1.1", "HTTP/1.0", 1), 505},
 		{"no host", strings.Replace(save("x").text(), "Host: backend.local\r\n", "", 1), 400},
 		{"noise", "\x16\x03\x01\x02\x00\x01\r\n\r\n", 400},
-		{"an endless head", "GET /api HTTP/1.1\r\n" + strings.Repeat("X-A: b\r\n", fronthttp.HeadSize), 431},
+		{"an endless head", "GET /api HTTP/1.1\r\n" + strings.Repeat("X-A: b\r\n", message.HeadSize), 431},
 		{"an expectation", with("Expect: much"), 417},
 	} {
 		cl := r.dial(t)
@@ -261,7 +261,7 @@
 		}, 500, 503},
 		{"a head without end", func(c net.Conn, _ *http.Request, _ int) bool {
 			io.WriteString(c, "HTTP/1.1 200 OK\r\n")
-			_, err := io.WriteString(c, strings.Repeat("X-A: b\r\n", 2*fronthttp.HeadSize))
+			_, err := io.WriteString(c, strings.Repeat("X-A: b\r\n", 2*message.HeadSize))
 			return err == nil
 		}, 500, 503},
 		{"an answer said to be huge", func(c net.Conn, _ *http.Request, _ int) bool {
--- a/internal/node/opaque_test.go
+++ b/internal/node/opaque_test.go
@@ -120,13 +120,7 @@
 // ended waits until the tunnels have ended for a cause so often.
 func (r *rig) ended(t testing.TB, cause backtunnel.Cause, times uint64) {
 	t.Helper()
-	end := time.Now().Add(patience)
-	for r.opaque.Stats().Ended[cause] < times {
-		if time.Now().After(end) {
-			t.Fatalf("tunnels ended by %v, want %d by %q", r.opaque.Stats().Ended, times, cause)
-		}
-		time.Sleep(time.Millisecond)
-	}
+	wait(t, fmt.Sprintf("the end of %d tunnels by %q", times, cause), func() bool { return r.opaque.Stats().Ended[cause] >= times })
 }
 
 // Each way in to each way out, with what can go wrong at the opening: one attempt that reaches a server at most where one is
--- a/internal/node/tunnel.go
+++ b/internal/node/tunnel.go
@@ -99,14 +99,9 @@
 
 // way is how a web server is reached; nil: directly.
 func (n *node) way(id string) back.Dial {
-	if n.cfg.Product == nil || n.cfg.Product.Tunnels == nil {
-		return nil
-	}
-	t := n.cfg.Product.Tunnels
-	for i := range t.Proxies {
-		pattern, way, _ := t.Way(i) // it was checked before
-		if fits, _ := filepath.Match(pattern, id); fits {
-			return way.Dial
+	for _, w := range n.ways {
+		if fits, _ := filepath.Match(w.Servers, id); fits {
+			return w.Proxy.Dial
 		}
 	}
 	return nil
--- a/internal/node/tunnel_test.go
+++ b/internal/node/tunnel_test.go
@@ -14,18 +14,18 @@
 	"testing"
 	"time"
 
+	"portstall/internal/lab/standin"
 	"portstall/internal/message"
 )
 
 // free is an address on which nothing listens.
 func free(t testing.TB) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := standin.FreeAddr()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	return addr
 }
 
 // tunnelled is a node with both kinds of listeners; contracts follow the file's other parts.
