Move tenants between pods by the file and the clock alone, and bound what spills

internal/cell has pinned tenants with homes for keys (rendezvous over the pods that the file names), moves by steps that follow from the clock, a bounded memory of keys, and a Placer that core, node and model share. What is in doubt around a cut is refused, never guessed. Where a cell takes nothing, a stated part of its unkeyed requests may go to one neighbour, unless its tenant's attempts broke lately. A change of one line keeps every subset that it does not touch; a new server's address no longer costs a walk of the node's names. Scenarios have cells with tenants and moves, on the rig too, and clients that repeat unasked; the oracle knows the rule on keys.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -22,6 +22,8 @@
 	ID   string // alike at every node
 	Zone string
 	Pod  int64 // servers that fail together
+
+	Number uint32 // what its owner calls it; no part of the placement
 }
 
 // Plan is how tenants are placed.
@@ -116,24 +118,30 @@
 // Subset is the servers of a tenant, in the order of ids. They are spread evenly over the zones, and over pods within a zone
 // as far as it has other ones. It costs a hash a server and allocates: callers keep it while the version is the same.
 func (m *Map) Subset(tenant string) []Server {
+	return m.named(m.subset(xxhash.Sum64String(tenant)))
+}
+
+func (m *Map) subset(key uint64) []int {
 	size := min(m.plan.Size, len(m.servers))
-	key := xxhash.Sum64String(tenant)
 	// Mostly a few of the best scores are all that is looked at: the others need not be put in order.
 	few := 64 + 16*uint64(size)
 	if n := uint64(len(m.servers)); n > 2*few {
 		if chosen, whole := m.choose(m.scores(key, math.MaxUint64-math.MaxUint64/n*few), size, key, true); whole {
-			return m.named(chosen)
+			return chosen
 		}
 	}
 	chosen, _ := m.choose(m.scores(key, 0), size, key, false)
-	return m.named(chosen)
+	return chosen
 }
 
+// score is how high a server, by the hash of its id, stands with a tenant.
+func (m *Map) score(key, id uint64) uint64 { return mix(key ^ mix(id^m.plan.Seed)) }
+
 // scores are those of the servers for a tenant that are at least so high, the best first.
 func (m *Map) scores(key, least uint64) []scored {
 	var all []scored
 	for i, h := range m.hashes {
-		if s := mix(key ^ mix(h^m.plan.Seed)); s >= least {
+		if s := m.score(key, h); s >= least {
 			all = append(all, scored{i, s})
 		}
 	}
--- /dev/null
+++ b/internal/cell/keys.go
@@ -0,0 +1,65 @@
+package cell
+
+import "time"
+
+// Keys remembers where keys may have run, so that what is in doubt by a Tenant's terms alone can be sent where the node
+// itself has sent it before. It holds a bounded number: past it the oldest is forgotten, and its repeats are in doubt
+// again; none is guessed. Not safe for concurrent use.
+type Keys struct {
+	most   int
+	of     map[uint64]ran
+	order  []kept // a ring of most, oldest first
+	first  int
+	forgot int64
+}
+
+type ran struct {
+	pod   int64
+	until time.Duration
+}
+
+type kept struct {
+	key   uint64
+	until time.Duration
+}
+
+// NewKeys makes a memory for so many keys, at least one; 48 to 80 bytes each once it is full.
+func NewKeys(most int) *Keys { return &Keys{most: max(1, most), of: map[uint64]ran{}} }
+
+// Sent notes that a key was sent to a pod, where repeats of it are dropped for the window from its first send on.
+func (k *Keys) Sent(now time.Duration, key uint64, pod int64, window time.Duration) {
+	if r, known := k.of[key]; known && now < r.until {
+		return // its window runs from the first
+	}
+	for len(k.order) > k.first && now >= k.order[k.first].until {
+		k.drop()
+	}
+	if len(k.order)-k.first >= k.most {
+		k.drop()
+		k.forgot++
+	}
+	k.of[key] = ran{pod, now + window}
+	k.order = append(k.order, kept{key, now + window})
+}
+
+// drop forgets the oldest, unless it was sent anew after its time.
+func (k *Keys) drop() {
+	e := k.order[k.first]
+	if k.of[e.key].until == e.until {
+		delete(k.of, e.key)
+	}
+	if k.first++; k.first >= k.most {
+		k.order = append(k.order[:0], k.order[k.first:]...)
+		k.first = 0
+	}
+}
+
+// Find tells in which pod a key may have run within its window.
+func (k *Keys) Find(now time.Duration, key uint64) (pod int64, known bool) {
+	r, known := k.of[key]
+	return r.pod, known && now < r.until
+}
+
+// Len is how many are remembered, and Forgot how many were pushed out within their window, since the start.
+func (k *Keys) Len() int      { return len(k.of) }
+func (k *Keys) Forgot() int64 { return k.forgot }
--- /dev/null
+++ b/internal/cell/move_test.go
@@ -0,0 +1,358 @@
+package cell
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const sec = time.Second
+
+// moved is a tenant that moves at 100 s, is cut over at 130 s, and whatever else a test wants of the move.
+func moved(change func(*Move)) *Tenant {
+	m := Move{To: []int64{4, 5, 6}, Start: 100 * sec, Prepare: 10 * sec, Both: 20 * sec}
+	if change != nil {
+		change(&m)
+	}
+	return &Tenant{Name: "valley", Pods: []int64{1, 2, 3}, Moves: []Move{m}}
+}
+
+func TestSteps(t *testing.T) {
+	stop := func(at time.Duration) func(*Move) { return func(m *Move) { m.Stop = at } }
+	back := func(at time.Duration) func(*Move) { return func(m *Move) { m.Back = at } }
+	old, new, none := []int64{1, 2, 3}, []int64{4, 5, 6}, []int64(nil)
+	for _, c := range []struct {
+		name   string
+		change func(*Move)
+		now    time.Duration
+		step   Step
+		pods   []int64
+		also   []int64
+	}{
+		{"before", nil, 99, Settled, old, none},
+		{"prepare", nil, 100, Preparing, old, none},
+		{"both", nil, 110, Both, old, new},
+		{"still both", nil, 129, Both, old, new},
+		{"cut", nil, 130, Draining, new, none},
+		{"draining", nil, 154, Draining, new, none},
+		{"drained", nil, 155, Drained, new, none},
+		{"stopped in prepare", stop(105 * sec), 500, Preparing, old, none},
+		{"stopped in both", stop(115 * sec), 500, Both, old, new},
+		{"stopped too late", stop(130 * sec), 500, Drained, new, none},
+		{"back before the cut", back(115 * sec), 114, Both, old, new},
+		{"and after", back(115 * sec), 115, Returned, old, none},
+		{"back while draining", back(135 * sec), 134, Draining, new, none},
+		{"returning", back(135 * sec), 135, Returning, old, none},
+		{"returned", back(135 * sec), 160, Returned, old, none},
+		{"stopped, then back", func(m *Move) { m.Stop, m.Back = 115*sec, 300*sec }, 299, Both, old, new},
+		{"the way back of a stopped one", func(m *Move) { m.Stop, m.Back = 115*sec, 300*sec }, 300, Returned, old, none},
+	} {
+		v := moved(c.change)
+		if f, why := v.Check(); f != "" {
+			t.Errorf("%s: %s %s", c.name, f, why)
+		}
+		step, _ := v.Step(c.now*sec, 12*sec, sec)
+		p := v.Free(c.now * sec)
+		if step != c.step || !slices.Equal(p.Pods, c.pods) || !slices.Equal(p.Also, c.also) {
+			t.Errorf("%s: %v, %v and %v; want %v, %v and %v", c.name, step, p.Pods, p.Also, c.step, c.pods, c.also)
+		}
+	}
+}
+
+func TestMoveChecks(t *testing.T) {
+	for field, change := range map[string]func(*Tenant){
+		"pods":             func(v *Tenant) { v.Pods = nil },
+		"moves[0].to":      func(v *Tenant) { v.Moves[0].To = []int64{4, 4} },
+		"moves[0].keys":    func(v *Tenant) { v.Moves[0].From, v.Moves[0].Below = 0.5, 0.2 },
+		"moves[0].prepare": func(v *Tenant) { v.Moves[0].Prepare = 9 * sec },
+		"moves[0].both":    func(v *Tenant) { v.Moves[0].Both = -1 },
+		"moves[0].stop":    func(v *Tenant) { v.Moves[0].Stop = 99 * sec },
+		"moves[0].back":    func(v *Tenant) { v.Moves[0].Back = 99 * sec },
+		"moves[1].start":   func(v *Tenant) { v.Moves = append(v.Moves, v.Moves[0]) },
+	} {
+		v := moved(nil)
+		if f, _ := v.Check(); f != "" {
+			t.Fatal(f)
+		}
+		change(v)
+		if f, why := v.Check(); f != field || why == "" {
+			t.Errorf("%s: %q %q", field, f, why)
+		}
+	}
+}
+
+// across is a key whose home is another one after the move.
+func across(v *Tenant) uint64 {
+	for i := 0; ; i++ {
+		if k := Key(v.Name, fmt.Sprint("k-", i)); Home(k, v.Pods) != Home(k, v.Moves[0].To) {
+			return k
+		}
+	}
+}
+
+// What a key may do around a cut, with clocks that differ by a second and a window of 12.
+func TestBound(t *testing.T) {
+	v := moved(nil)
+	key := across(v)
+	for _, c := range []struct {
+		now    time.Duration
+		repeat bool
+		marked bool
+		new    bool
+		doubt  bool
+	}{
+		{128, true, true, false, false},
+		{129, true, true, false, true}, // a node ahead may have sent it to the other side
+		{129, false, true, false, false},
+		{129, false, false, false, true},
+		{130, false, true, true, false},
+		{130, false, false, true, true},
+		{154, true, true, true, true},
+		{155, true, true, true, false},
+		{155, false, false, true, false},
+	} {
+		p := v.Bound(c.now*sec, key, 12*sec, c.repeat, Doubt{Marked: c.marked, Skew: sec})
+		want := Home(key, v.Pods)
+		if c.new {
+			want = Home(key, v.Moves[0].To)
+		}
+		if p.Doubt != c.doubt || p.Pods[0] != want || !p.Known {
+			t.Errorf("%+v: %+v, want pod %d", c, p, want)
+		}
+	}
+	// A range of keys moves alone; requests without a key stay.
+	v = moved(func(m *Move) { m.From, m.Below = 0, 0.5 })
+	n := 0
+	for i := range 2000 {
+		k := Key(v.Name, fmt.Sprint(i))
+		if p := v.Bound(200*sec, k, 12*sec, false, Doubt{}); p.Pods[0] >= 4 {
+			n++
+			if k >= 1<<63 {
+				t.Fatal("a key beyond the range moved")
+			}
+		}
+	}
+	if p := v.Free(200 * sec); n < 900 || n > 1100 || p.Pods[0] != 1 || p.Also != nil {
+		t.Errorf("%d of 2,000 moved with half the keys; without a key: %+v", n, p)
+	}
+}
+
+// A pod that comes to a list wins some keys, and all others stay.
+func TestHomes(t *testing.T) {
+	moved := 0
+	for i := range 3000 {
+		k := Key("valley", fmt.Sprint(i))
+		a, b := Home(k, []int64{1, 2, 3}), Home(k, []int64{3, 1, 4, 2})
+		if a != b {
+			if b != 4 {
+				t.Fatalf("from %d to %d", a, b)
+			}
+			moved++
+		}
+	}
+	if moved < 650 || moved > 850 {
+		t.Errorf("%d of 3,000 moved to the fourth pod", moved)
+	}
+}
+
+func TestKeys(t *testing.T) {
+	k := NewKeys(3)
+	k.Sent(0, 1, 7, 12*sec)
+	k.Sent(5*sec, 1, 8, 12*sec) // its window runs from the first
+	if pod, known := k.Find(11*sec, 1); pod != 7 || !known {
+		t.Error(pod, known)
+	}
+	if _, known := k.Find(12*sec, 1); known {
+		t.Error("known past its window")
+	}
+	k.Sent(12*sec, 1, 9, 12*sec)
+	for i := uint64(2); i < 5; i++ {
+		k.Sent(13*sec, i, 1, 12*sec)
+	}
+	if _, known := k.Find(13*sec, 1); known || k.Len() != 3 || k.Forgot() != 1 {
+		t.Error("the oldest is kept", k.Len(), k.Forgot())
+	}
+	for i := range uint64(100000) {
+		k.Sent(time.Duration(i)*sec, i, 1, 12*sec)
+	}
+	if k.Len() > 3 || len(k.order) > 6 || cap(k.order) > 16 {
+		t.Error("it grows", k.Len(), len(k.order), cap(k.order))
+	}
+	rapid.Check(t, func(t *rapid.T) { // against a book without bound
+		k, book, now := NewKeys(8), map[uint64]ran{}, time.Duration(0)
+		for range 60 {
+			now += time.Duration(rapid.IntRange(0, 3).Draw(t, "wait")) * sec
+			key, pod := rapid.Uint64Range(0, 12).Draw(t, "key"), rapid.Int64Range(0, 3).Draw(t, "pod")
+			if p, known := k.Find(now, key); known && (book[key].pod != p || now >= book[key].until) {
+				t.Fatalf("key %d at %v: pod %d, sent to %+v", key, now, p, book[key])
+			} else if !known && now < book[key].until && k.Forgot() == 0 {
+				t.Fatalf("key %d is forgotten, and none was pushed out", key)
+			}
+			window := time.Duration(rapid.IntRange(1, 9).Draw(t, "window")) * sec
+			if now >= book[key].until {
+				book[key] = ran{pod, now + window}
+			}
+			if _, known := k.Find(now, key); !known && book[key].until != now+window {
+				delete(book, key) // it was pushed out: what it is sent as now counts
+				book[key] = ran{pod, now + window}
+			}
+			k.Sent(now, key, pod, window)
+		}
+	})
+}
+
+// steps of the world that the check below goes through: a tick is a second, clocks differ by one, the window is two.
+const (
+	window   = 2
+	lastTick = 14
+)
+
+// checked is what a check of all interleavings found: a story for each broken rule, and how much it went through.
+type checked struct {
+	broken []string
+	runs   int
+	sent   int
+	doubts int
+}
+
+// explore plays a key's first try and two repeats, with new request ids, at two nodes at all times, under all clocks that
+// differ by no more than skew; each node may lose its memory between any two of them; and the file that has the terms
+// `then` in place of `first` comes to the nodes at all times until the latest that is allowed. No key may be sent to a pod
+// within the window after it was sent to another one; far from changes it must be sent.
+func explore(first, then *Tenant, latest int, believed Doubt, assumed time.Duration, skew int) checked {
+	var out checked
+	key := across(first)
+	type node struct {
+		clock  int
+		reads  int // the new file from then on
+		memory *Keys
+	}
+	type send struct {
+		at  int
+		pod int64
+	}
+	arrivals := []int{0}
+	if then != first {
+		arrivals = append(arrivals, latest/2, latest)
+	}
+	for _, clocks := range [][2]int{{0, 0}, {0, skew}, {skew, 0}} {
+		for _, reads0 := range arrivals {
+			for _, reads1 := range []int{0, latest} {
+				if then == first && reads1 > 0 {
+					continue
+				}
+				for plan := range 1 << 6 { // two bits of nodes, then before each repeat one for each node that restarts
+					if plan>>3&1 == 1 || plan>>5&1 == 1 && plan&1 == 0 {
+						continue // it has nothing to forget
+					}
+					for t0 := 0; t0 <= lastTick; t0++ {
+						for t1 := t0; t1 <= min(lastTick, t0+window+1); t1++ {
+							for t2 := t1; t2 <= min(lastTick, t1+window+1); t2++ {
+								out.runs++
+								nodes := [2]node{{clocks[0], reads0, NewKeys(4)}, {clocks[1], reads1, NewKeys(4)}}
+								var sends [3]send
+								done := 0
+								for i, at := range [3]int{t0, t1, t2} {
+									who := 0
+									if i > 0 {
+										who = plan >> (i - 1) & 1
+										for n := range nodes {
+											if plan>>(2*i+n)&1 == 1 {
+												nodes[n].memory = NewKeys(4)
+											}
+										}
+									}
+									n := &nodes[who]
+									terms := first
+									if at >= n.reads {
+										terms = then
+									}
+									now := time.Duration(at+n.clock) * sec
+									p := terms.Bound(now, key, assumed, i > 0, believed)
+									pod := p.Pods[0]
+									if where, known := n.memory.Find(now, key); known {
+										pod, p.Doubt = where, false
+									}
+									if p.Doubt {
+										out.doubts++
+										continue
+									}
+									n.memory.Sent(now, key, pod, assumed)
+									for _, s := range sends[:done] {
+										if s.pod != pod && at-s.at < window {
+											out.broken = append(out.broken, fmt.Sprintf("clocks %v, files read at %d and %d, plan %06b: sent to pod %d at %d, to %d at %d",
+												clocks, reads0, reads1, plan, s.pod, s.at, pod, at))
+										}
+									}
+									sends[done] = send{at, pod}
+									done++
+									out.sent++
+								}
+							}
+						}
+					}
+				}
+			}
+		}
+	}
+	return out
+}
+
+// All interleavings of two nodes, their restarts, their clocks, a new file's arrival and a key's repeats keep a key in its
+// pod, for each step that a move can be stopped or turned back in; and the check finds what terms that are too weak would
+// break.
+func TestMoveModel(t *testing.T) {
+	move := func(change func(*Move)) *Tenant {
+		return moved(func(m *Move) {
+			m.Start, m.Prepare, m.Both = 2*sec, 2*sec, 2*sec // the cut is at 6
+			if change != nil {
+				change(m)
+			}
+		})
+	}
+	plain := move(nil)
+	marked, unmarked := Doubt{Marked: true, Skew: sec}, Doubt{Skew: sec}
+	for name, c := range map[string]struct {
+		then   *Tenant
+		latest int // the new file is everywhere a tick and the skew before the change that it brings
+	}{
+		"plain":               {plain, 0},
+		"a move comes":        {plain, 1},
+		"stopped in prepare":  {move(func(m *Move) { m.Stop = 3 * sec }), 1},
+		"stopped in both":     {move(func(m *Move) { m.Stop = 5 * sec }), 3},
+		"back before the cut": {move(func(m *Move) { m.Back = 5 * sec }), 3},
+		"back at the cut":     {move(func(m *Move) { m.Back = 6 * sec }), 4},
+		"back while draining": {move(func(m *Move) { m.Back = 8 * sec }), 6},
+		"back once drained":   {move(func(m *Move) { m.Back = 11 * sec }), 9},
+	} {
+		first := plain
+		if name == "a move comes" {
+			first = move(func(m *Move) { m.Start = 1000 * sec })
+		}
+		for _, d := range []Doubt{marked, unmarked} {
+			got := explore(first, c.then, c.latest, d, window*sec, 1)
+			if len(got.broken) > 0 {
+				t.Errorf("%s, %+v: %d broken, first: %s", name, d, len(got.broken), got.broken[0])
+			}
+			if got.sent < got.runs/2 || got.doubts == 0 && !strings.HasPrefix(name, "stopped") && !strings.HasSuffix(name, "the cut") {
+				t.Errorf("%s, %+v: %d runs, %d sent, %d in doubt: the check is empty", name, d, got.runs, got.sent, got.doubts)
+			}
+			t.Logf("%s, marked %v: %d runs, %d sent, %d turned away in doubt", name, d.Marked, got.runs, got.sent, got.doubts)
+		}
+	}
+	// Weaker terms are found out.
+	if got := explore(plain, plain, 0, Doubt{Marked: true}, window*sec, 1); len(got.broken) == 0 {
+		t.Error("nodes that take their clocks for alike break nothing")
+	}
+	if got := explore(plain, plain, 0, marked, 0, 1); len(got.broken) == 0 {
+		t.Error("draining for no time breaks nothing")
+	}
+	late := move(func(m *Move) { m.Back = 11 * sec })
+	if got := explore(plain, late, 13, marked, window*sec, 1); len(got.broken) == 0 {
+		t.Error("a file that comes after the change breaks nothing")
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -33,17 +33,94 @@
 
 // Cells give each tenant a subset of the web servers of its own, spread over zones and pods.
 type Cells struct {
-	Size int    `yaml:"size"` // web servers a tenant
-	Seed uint64 `yaml:"seed"` // another one deals all anew
+	Size    int           `yaml:"size"`    // web servers a tenant
+	Seed    uint64        `yaml:"seed"`    // another one deals all anew
+	Spill   float64       `yaml:"spill"`   // part of a tenant's requests that may go to its neighbour's where its own take none
+	Memory  int           `yaml:"memory"`  // keys of pinned tenants that a node remembers; 100,000
+	Marked  bool          `yaml:"marked"`  // clients mark their repeats, always
+	Skew    time.Duration `yaml:"skew"`    // by which nodes' clocks differ at most; 1 s
+	Tenants []Pinned      `yaml:"tenants"` // that are pinned to pods, and may move
 }
 
-// Plan is how tenants are placed. An error is a *FieldError.
-func (c *Cells) Plan() (cell.Plan, error) {
-	p := cell.Plan{Size: c.Size, Seed: c.Seed}
-	if field, why := p.Check(); field != "" {
-		return p, &FieldError{"cells." + field, why}
+// Pinned is a tenant whose web servers are those of some pods.
+type Pinned struct {
+	Tenant string  `yaml:"tenant"`
+	Pods   []int64 `yaml:"pods"` // discovery's cells
+	Moves  []Move  `yaml:"moves"`
+}
+
+// Move takes a pinned tenant to other pods.
+type Move struct {
+	To      []int64       `yaml:"to"`
+	Keys    []float64     `yaml:"keys"` // from and below, as parts of all keys: those alone; none: all requests
+	Start   time.Time     `yaml:"start"`
+	Prepare time.Duration `yaml:"prepare"` // 10 s
+	Both    time.Duration `yaml:"both"`
+	Stop    time.Time     `yaml:"stop"` // it stays as it is then
+	Back    time.Time     `yaml:"back"` // all goes back
+}
+
+// Terms is how tenants are placed and moved. An error is a *FieldError.
+func (c *Cells) Terms() (cell.Terms, error) {
+	t := cell.Terms{Plan: cell.Plan{Size: c.Size, Seed: c.Seed}, Doubt: cell.Doubt{Marked: c.Marked, Skew: c.Skew}, Memory: c.Memory, Spill: c.Spill}
+	bad := func(field, why string, args ...any) (cell.Terms, error) {
+		return t, &FieldError{"cells." + field, fmt.Sprintf(why, args...)}
+	}
+	if field, why := t.Plan.Check(); field != "" {
+		return bad(field, "%s", why)
+	}
+	switch {
+	case !(c.Spill >= 0 && c.Spill <= 1):
+		return bad("spill", "%v is outside 0 to 1", c.Spill)
+	case c.Memory < 0 || c.Memory > 10_000_000:
+		return bad("memory", "%d is outside 0 to 10,000,000", c.Memory)
+	case c.Skew < 0 || c.Skew > time.Minute:
+		return bad("skew", "%s is outside 0 to 1m", c.Skew)
+	}
+	if t.Memory == 0 {
+		t.Memory = 100_000
+	}
+	if t.Doubt.Skew == 0 {
+		t.Doubt.Skew = time.Second
+	}
+	seen := map[string]bool{}
+	for i, v := range c.Tenants {
+		p := fmt.Sprintf("tenants[%d].", i)
+		if v.Tenant == "" || seen[v.Tenant] {
+			return bad(p+"tenant", "%q is missing or used twice", v.Tenant)
+		}
+		seen[v.Tenant] = true
+		tenant := cell.Tenant{Name: v.Tenant, Pods: v.Pods}
+		for k, m := range v.Moves {
+			if m.Start.IsZero() {
+				return bad(fmt.Sprintf("%smoves[%d].start", p, k), "missing")
+			}
+			move := cell.Move{To: m.To, Start: unix(m.Start), Prepare: m.Prepare, Both: m.Both, Stop: unix(m.Stop), Back: unix(m.Back)}
+			if move.Prepare == 0 {
+				move.Prepare = cell.LeastPrepare
+			}
+			if len(m.Keys) > 0 {
+				if len(m.Keys) != 2 {
+					return bad(fmt.Sprintf("%smoves[%d].keys", p, k), "is not of the form [from, below]")
+				}
+				move.From, move.Below = m.Keys[0], m.Keys[1]
+			}
+			tenant.Moves = append(tenant.Moves, move)
+		}
+		if field, why := tenant.Check(); field != "" {
+			return bad(p+field, "%s", why)
+		}
+		t.Tenants = append(t.Tenants, tenant)
+	}
+	return t, nil
+}
+
+// unix is a time as the nodes' clocks tell it; 0 for none.
+func unix(t time.Time) time.Duration {
+	if t.IsZero() {
+		return 0
 	}
-	return p, nil
+	return time.Duration(t.UnixNano())
 }
 
 // Tunnels are the listeners on which clients ask for tunnels, and what they may ask for.
@@ -291,7 +368,7 @@
 		}
 	}
 	if f.Cells != nil {
-		if _, err := f.Cells.Plan(); err != nil {
+		if _, err := f.Cells.Terms(); err != nil {
 			return err
 		}
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"portstall/internal/contract"
 )
@@ -46,6 +47,14 @@
 	if rest.Burst != 1 || rest.Lends != 0 || rest.Weight != 0 || rest.Criticality != contract.Normal || rest.Retries != nil || rest.Classes != nil {
 		t.Errorf("%+v", rest)
 	}
+	cells, err := Parse("p.yaml", []byte("cells: {size: 6, tenants: [{tenant: gulf, pods: [1, 2], moves: [{to: [3], start: 2026-12-01T13:00:00Z, both: 30s, keys: [0, 0.5]}]}]}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c, err := cells.Cells.Terms(); err != nil || c.Memory != 100000 || c.Doubt.Skew != time.Second || c.Tenants[0].Moves[0].Prepare != 10*time.Second ||
+		c.Tenants[0].Moves[0].Start != 1796130000*time.Second || c.Tenants[0].Moves[0].Below != 0.5 || c.Tenants[0].Moves[0].Back != 0 {
+		t.Errorf("%+v, %v", c, err)
+	}
 	if tab, err := Compile(&File{}, nil); tab != nil || err != nil {
 		t.Errorf("no contracts: %v %v", tab, err)
 	}
@@ -82,6 +91,14 @@
 		{"contracts:\n- {name: a}\n- {name: b}\n", "contracts[0] (a) and contracts[1] (b): both are for everybody"},
 		{"services:\n- {name: s, classes: [{name: pay, effect: magic}]}\n", "p.yaml:2: services[0].classes[0].effect"},
 		{"cells: {size: 0}\n", "cells.size: 0 is outside 1 to 10000"},
+		{"cells: {size: 1, spill: 2}\n", "cells.spill: 2 is outside"},
+		{"cells: {size: 1, skew: 2h}\n", "cells.skew: 2h0m0s is outside"},
+		{"cells: {size: 1, memory: -1}\n", "cells.memory: -1"},
+		{"cells: {size: 1, tenants: [{pods: [1]}]}\n", "cells.tenants[0].tenant: \"\""},
+		{"cells: {size: 1, tenants: [{tenant: a, pods: [1, 1]}]}\n", "cells.tenants[0].pods"},
+		{"cells: {size: 1, tenants: [{tenant: a, pods: [1], moves: [{to: [2]}]}]}\n", "cells.tenants[0].moves[0].start: missing"},
+		{"cells: {size: 1, tenants: [{tenant: a, pods: [1], moves: [{to: [2], start: 2026-12-01T13:00:00Z, prepare: 5s}]}]}\n", "cells.tenants[0].moves[0].prepare: 5s is below 10s"},
+		{"cells: {size: 1, tenants: [{tenant: a, pods: [1], moves: [{to: [2], start: 2026-12-01T13:00:00Z, keys: [1]}]}]}\n", "cells.tenants[0].moves[0].keys"},
 		{"tunnels: {routes: [{host: a.b, port: 1, kind: opaque}]}\n", "tunnels.routes[0].class: missing"},
 		{"tunnels: {routes: [{host: a.b, port: 1, kind: opaque, class: c, drain: 2m}]}\n", "tunnels.routes[0].drain: 2m0s is outside"},
 		{"tunnels: {routes: [{host: a.b, port: 1, idle: 1s}]}\n", "tunnels.routes[0].idle: is for opaque routes only"},
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -43,8 +43,19 @@
 	Server(number uint32) (any, bool)
 	Watch() // ask for changes from now on
 	Fetch() // ask for the whole list once
-	// Among is the servers, by their numbers, that a request may go to; nil: all. It is not changed afterwards.
-	Among(r *Request) []uint32
+}
+
+// Cells say where requests may go. Their methods are called with the core's lock held, and must not wait. Servers go by the
+// policy's numbers, and lists of them are not changed afterwards.
+type Cells interface {
+	// Place tells to which servers a request may go; nil: to all. Doubt: to none, and it is turned away.
+	Place(now time.Duration, r *Request) (among []uint32, doubt bool)
+	// Sent tells that a request is sent to a server.
+	Sent(now time.Duration, r *Request, server uint32)
+	// Ended tells how an attempt of a request ended.
+	Ended(now time.Duration, r *Request, outcome policy.Outcome)
+	// Spill tells to which servers a request may go that no server of its own took, and that was sent nowhere; nil: nowhere.
+	Spill(now time.Duration, r *Request) []uint32
 }
 
 // ErrCanceled is why an attempt's context ends when nobody waits for the attempt any more.
@@ -53,6 +64,7 @@
 // Request is one client request. Its fields are set by the front before Begin and not changed afterwards.
 type Request struct {
 	ID, Class, Tenant string
+	Key               string          // its idempotency key, where it has one
 	Repeat            bool            // a client's repeat of an earlier try, where it says so
 	Hint              float64         // expected cost in seconds; 0: none was told
 	Caller            contract.Caller // who asks
@@ -65,6 +77,7 @@
 	attempts []*Attempt
 	open     int
 	answered bool
+	spilt    bool // it goes to its cell's neighbour
 	grant    grant
 	done     chan Answer // holds the one final answer; never blocks
 }
@@ -117,6 +130,7 @@
 	clock   Clock
 	back    Back
 	roster  Roster
+	cells   Cells // nil: there are none
 	log     *slog.Logger
 	transit time.Duration
 	ctx     context.Context // ends when the node does; attempts hang on it
@@ -136,6 +150,7 @@
 	Clock   Clock
 	Back    Back
 	Roster  Roster
+	Cells   Cells // nil: there are none
 	Log     *slog.Logger
 	Transit time.Duration // the way to a client and back, which is off each request's patience
 }
@@ -146,7 +161,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Core{clock: o.Clock, back: o.Back, roster: o.Roster, log: o.Log, transit: o.Transit, bal: bal,
+	c := &Core{clock: o.Clock, back: o.Back, roster: o.Roster, cells: o.Cells, log: o.Log, transit: o.Transit, bal: bal,
 		even: 1 / float64(max(1, set.Nodes)), requests: map[string]*Request{}}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c, nil
@@ -192,11 +207,24 @@
 		return true
 	}
 	c.requests[r.ID] = r
-	c.handle(now, &policy.Event{Kind: policy.EvRequest, ID: r.ID, Class: r.Class, Tenant: r.Tenant, Left: left,
-		Repeat: r.Repeat, Borrowed: r.grant.verdict.Borrowed, Among: c.roster.Among(r)})
+	var among []uint32
+	if c.cells != nil {
+		var doubt bool
+		if among, doubt = c.cells.Place(now, r); doubt {
+			c.finish(r.ID, Answer{Kind: Refused, RetryAfter: time.Second})
+			return true
+		}
+	}
+	c.offer(now, r, among)
 	return true
 }
 
+// offer hands a request to the policy, for some servers or (nil) all.
+func (c *Core) offer(now time.Duration, r *Request, among []uint32) {
+	c.handle(now, &policy.Event{Kind: policy.EvRequest, ID: r.ID, Class: r.Class, Tenant: r.Tenant, Left: r.until - now,
+		Repeat: r.Repeat, Borrowed: r.grant.verdict.Borrowed, Among: among})
+}
+
 // Gone tells that a request's client has left. Its answer, if it has one, is released.
 func (c *Core) Gone(r *Request) {
 	c.Lock()
@@ -251,6 +279,9 @@
 		release(res.Payload) // nobody waits for it
 	}
 	now := c.Now()
+	if c.cells != nil {
+		c.cells.Ended(now, r, res.Outcome)
+	}
 	took := now - a.sent
 	if res.First > 0 { // what follows tells of the network and of the body's size
 		took = max(0, res.First-a.sent)
@@ -285,6 +316,8 @@
 // handle carries out what the policy wants, in its order.
 func (c *Core) handle(now time.Duration, ev *policy.Event) {
 	c.actions = c.bal.Handle(now, ev, c.actions[:0])
+	var spilt *Request // an event refuses one request at most
+	var among []uint32
 	for i := range c.actions {
 		a := &c.actions[i]
 		switch a.Kind {
@@ -295,6 +328,12 @@
 				r.attempts[a.Attempt].cancel(ErrCanceled)
 			}
 		case policy.ActRefuse:
+			if r := c.requests[a.ID]; c.cells != nil && r != nil && len(r.attempts) == 0 && !r.spilt && !r.answered {
+				if among = c.cells.Spill(now, r); among != nil {
+					r.spilt, spilt = true, r
+					continue
+				}
+			}
 			c.finish(a.ID, Answer{Kind: Refused, RetryAfter: a.Wait})
 		case policy.ActFail:
 			c.finish(a.ID, Answer{Kind: Failed})
@@ -309,6 +348,9 @@
 			c.log.Info(a.Text)
 		}
 	}
+	if spilt != nil { // once all that was wanted before is done
+		c.offer(now, spilt, among)
+	}
 }
 
 // due hands in a timer.
@@ -336,6 +378,9 @@
 	a.cancel = cancel
 	r.attempts = append(r.attempts, a)
 	r.open++
+	if c.cells != nil && known {
+		c.cells.Sent(now, r, act.Server)
+	}
 	c.Go(func() {
 		defer cancel(nil)
 		res := Result{Outcome: policy.Moot}
--- a/internal/front/http/clients.go
+++ b/internal/front/http/clients.go
@@ -508,7 +508,7 @@
 		}
 	}
 	h := in.Header
-	r.Request = &core.Request{ID: h.Get("X-Request-Id"), Class: h.Get("X-Class"), Tenant: h.Get("X-Tenant"), Repeat: h.Get("X-Retry") == "1",
+	r.Request = &core.Request{ID: h.Get("X-Request-Id"), Class: h.Get("X-Class"), Tenant: h.Get("X-Tenant"), Key: h.Get("Idempotency-Key"), Repeat: h.Get("X-Retry") == "1",
 		Hint: hint(h), Caller: Caller(h, Address(c.Conn), c.user), Message: in}
 	if r.ID == "" || len(r.ID) > maxID {
 		return no(bad, "X-Request-Id: missing or too long")
--- a/internal/lab/model/roster.go
+++ b/internal/lab/model/roster.go
@@ -141,6 +141,7 @@
 			w.at(w.now+w.s.Rules.DrainGrace*9/10+w.s.Rules.TunnelDrain, event{kind: evCut, a: int32(n.index), gen: n.life, b: int32(index)})
 		}
 		n.known[index] = e
+		n.place(e)
 		w.book.Told(w.now, n.index, e.ID, e.State != policy.Active, since(e.Launched))
 	}
 }
--- a/internal/lab/oracle/oracle_test.go
+++ b/internal/lab/oracle/oracle_test.go
@@ -21,6 +21,18 @@
 
 const read, join, accept, pay, zoned = 0, 1, 2, 3, 4
 
+// again takes two requests with one key, the second sent to a server at some time, the first at 1 ms to pod 0.
+func again(b *Book, at time.Duration, server uint32, never bool) {
+	b.Taken(0, 0, "first", accept, time.Second)
+	b.Keyed("first", "k")
+	b.Sent(ms, 0, "first", 1, 0, 0)
+	b.Ended(2*ms, 0, "first", 0, "", never, false)
+	b.Failed(3*ms, 0, "first")
+	b.Taken(4*ms, 1, "r", accept, 3*time.Second)
+	b.Keyed("r", "k")
+	b.Sent(at, 1, "r", server, 0, 0)
+}
+
 // Each rule is broken once in every way that it can be, and kept in the ways that come close to it.
 func TestRules(t *testing.T) {
 	sent := func(b *Book, at time.Duration, server uint32) { b.Sent(at, 0, "r", server, 0, 0) }
@@ -47,6 +59,18 @@
 			b.Overdue(time.Second, 0, "r")
 			b.Close(time.Second, nil)
 		}, ""},
+		{"a key's repeat by another request leaves its pod", func(b *Book) {
+			again(b, 900*ms, 3, false)
+		}, Key},
+		{"it goes back to its pod", func(b *Book) {
+			again(b, 900*ms, 1, false)
+		}, ""},
+		{"it leaves the pod behind its window", func(b *Book) {
+			again(b, 1001*ms, 3, false)
+		}, ""},
+		{"it leaves the pod where it never ran", func(b *Book) {
+			again(b, 900*ms, 3, true)
+		}, ""},
 		{"answered twice", func(b *Book) {
 			b.Taken(0, 0, "r", read, time.Second)
 			sent(b, ms, 1)
--- a/internal/lab/rig/client.go
+++ b/internal/lab/rig/client.go
@@ -130,7 +130,7 @@
 		}
 	}
 	if c.Effect == "keyed" {
-		h.Set("Idempotency-Key", fmt.Sprintf("k-%d-%d", s.Seed, a.Index))
+		h.Set("Idempotency-Key", scenario.IdempotencyKey(s, a))
 	}
 	if tries > 1 {
 		h.Set("X-Retry", "1")
@@ -163,7 +163,7 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) {
 		if i.Err == nil && !wrote.Swap(true) {
 			r.mu.Lock()
-			r.note(record{what: taken, at: begun, node: n.index, id: id, class: a.Class, until: until})
+			r.note(record{what: taken, at: begun, node: n.index, id: id, class: a.Class, key: r.s.Key(a), until: until})
 			r.mu.Unlock()
 		}
 	}})
--- a/internal/lab/rig/record.go
+++ b/internal/lab/rig/record.go
@@ -37,6 +37,7 @@
 	server   int // index
 	attempt  int
 	class    int
+	key      string
 	until    time.Duration
 	notRun   bool
 	capacity float64
@@ -141,6 +142,7 @@
 		case taken:
 			held[e.node][e.id] = true
 			book.Taken(e.at, e.node, e.id, e.class, e.until)
+			book.Keyed(e.id, e.key)
 			if stopped[e.node] {
 				book.Stopped(e.node, e.id)
 			}
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -25,6 +25,9 @@
 // Slack is added to the rules' time limits: what is seen from outside crosses sockets and goroutines.
 const Slack = 50 * time.Millisecond
 
+// startTime is what all stand-ins and nodes have to come up in where nodes are told when the day begins.
+const startTime = 3 * time.Second
+
 // Options of a run.
 type Options struct {
 	Binary string // portstall itself
@@ -41,6 +44,7 @@
 	ctx     context.Context
 	dir     string
 	begun   time.Time
+	zero    time.Time // when the day is to begin, where nodes are told times of it
 	servers []*server
 	nodes   []*node
 	proxies []*standin.Proxy // before every other server each; none: servers are reached directly
@@ -94,6 +98,9 @@
 func (r *rig) now() time.Duration { return time.Since(r.begun) }
 
 func (r *rig) start() error {
+	if r.s.Cells.Size > 0 {
+		r.zero = time.Now().Add(startTime)
+	}
 	list := r.s.Fleet()
 	r.hits = r.s.Hits(list)
 	for i, f := range list {
@@ -163,6 +170,7 @@
 
 // play lets the day pass: arrivals and faults at their times.
 func (r *rig) play() {
+	time.Sleep(time.Until(r.zero)) // what the nodes were told of times counts from it
 	r.begun = time.Now()
 	var timers []*time.Timer
 	at := func(t time.Duration, do func()) {
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -4,6 +4,7 @@
 package scenario
 
 import (
+	"fmt"
 	"time"
 
 	"portstall/internal/config"
@@ -123,6 +124,7 @@
 	Exponential bool          `yaml:"exponential"` // the back-off doubles with each try
 	Honour      float64       `yaml:"honour"`      // share of clients that honour a Retry-After
 	TryShare    float64       `yaml:"try_share"`   // a try is given up after this part of the deadline
+	Stubborn    float64       `yaml:"stubborn"`    // share that repeat a keyed request though its answer promised nothing
 	Impatient   float64       `yaml:"impatient"`   // share of tries that the client leaves early
 }
 
@@ -148,11 +150,74 @@
 	return max(0, min(time.Duration(float64(c.Stands)*a.Work.Seconds()/c.Work.Seconds()), s.Duration-at))
 }
 
-// Cells give each tenant a subset of the servers of its own; in the model only.
+// Cells give each tenant a subset of the servers of its own, as config.Cells do; times count from the scenario's start.
 type Cells struct {
-	Size int `yaml:"size"` // servers a tenant; 0: all share all
+	Size    int           `yaml:"size"` // servers a tenant; 0: all share all
+	Spill   float64       `yaml:"spill"`
+	Memory  int           `yaml:"memory"`
+	Marked  bool          `yaml:"marked"`
+	Skew    time.Duration `yaml:"skew"`
+	Tenants []Pinned      `yaml:"tenants"`
 }
 
+// Pinned is a tenant whose servers are those of some pods.
+type Pinned struct {
+	Tenant string  `yaml:"tenant"`
+	Pods   []int64 `yaml:"pods"`
+	Moves  []Move  `yaml:"moves"`
+}
+
+// Move takes a pinned tenant to other pods.
+type Move struct {
+	To      []int64       `yaml:"to"`
+	Keys    []float64     `yaml:"keys"`
+	Start   time.Duration `yaml:"start"`
+	Prepare time.Duration `yaml:"prepare"`
+	Both    time.Duration `yaml:"both"`
+	Stop    time.Duration `yaml:"stop"` // 0: never
+	Back    time.Duration `yaml:"back"`
+}
+
+// At is what nodes are told of cells where the scenario starts at the given time; nil where there are none.
+func (c *Cells) At(start time.Time) *config.Cells {
+	if c.Size == 0 {
+		return nil
+	}
+	out := &config.Cells{Size: c.Size, Spill: c.Spill, Memory: c.Memory, Marked: c.Marked, Skew: c.Skew}
+	at := func(d time.Duration) (t time.Time) {
+		if d != 0 {
+			t = start.Add(d)
+		}
+		return t
+	}
+	for _, v := range c.Tenants {
+		p := config.Pinned{Tenant: v.Tenant, Pods: v.Pods}
+		for _, m := range v.Moves {
+			p.Moves = append(p.Moves, config.Move{To: m.To, Keys: m.Keys, Start: start.Add(m.Start), Prepare: m.Prepare, Both: m.Both,
+				Stop: at(m.Stop), Back: at(m.Back)})
+		}
+		out.Tenants = append(out.Tenants, p)
+	}
+	return out
+}
+
+// Key is an ask's key where it must stay in one pod, whatever request carries it; empty where nothing says so.
+func (s *Scenario) Key(a *Ask) string {
+	c := &s.Classes[a.Class]
+	if s.Cells.Size == 0 || a.Tenant < 0 || c.Effect != "keyed" || c.Group != "pod" {
+		return ""
+	}
+	for i := range s.Cells.Tenants {
+		if s.Cells.Tenants[i].Tenant == s.Tenants[a.Tenant].Name {
+			return IdempotencyKey(s, a)
+		}
+	}
+	return ""
+}
+
+// IdempotencyKey is the key that all tries of an ask carry where its class is keyed.
+func IdempotencyKey(s *Scenario, a *Ask) string { return fmt.Sprintf("k-%d-%d", s.Seed, a.Index) }
+
 // Tenant is one part of the clients.
 type Tenant struct {
 	Name  string  `yaml:"name"`
--- a/internal/node/cells.go
+++ b/internal/node/cells.go
@@ -1,74 +1,106 @@
 package node
 
 import (
+	"fmt"
 	"strconv"
+	"time"
 
 	"portstall/internal/cell"
 	"portstall/internal/core"
+	"portstall/policy"
 )
 
-// tenantsMost bounds how many tenants' cells are remembered. Past it all are worked out anew, as after a change of the list.
-const tenantsMost = 10000
-
-// cells are the subsets of the web servers that tenants have. Guarded by the core's lock.
+// cells are the subsets of the web servers that tenants have. They make a core.Cells, and belong to the core's lock.
 type cells struct {
-	now *cell.Map           // nil: there are none
-	of  map[string][]uint32 // by tenant, in the policy's numbers
+	*cell.Placer
+	node *node
 }
 
 // changed takes in what the list tells of a web server. One that drains, or has left, is no member any more.
 func (c *cells) changed(b *backend) {
-	if c.now == nil {
-		return
-	}
-	if b.left || b.Stop.Load() != 0 {
-		c.now.Remove(b.ID)
-	} else {
-		c.now.Set(cell.Server{ID: b.ID, Zone: b.entry.Zone, Pod: b.entry.Cell})
+	switch {
+	case c == nil:
+	case b.left || b.Stop.Load() != 0:
+		c.Remove(b.ID)
+	default:
+		c.Set(cell.Server{ID: b.ID, Zone: b.entry.Zone, Pod: b.entry.Cell, Number: b.number})
 	}
-	c.of = nil // numbers may have changed too
 }
 
-// Among makes the node a core.Roster: the cell of a request's tenant.
-func (n *node) Among(r *core.Request) []uint32 {
-	c := &n.cells
-	if c.now == nil {
-		return nil
+// ask is what placement asks of a request. A key binds it where its repeats are dropped by some servers and not by others;
+// within a pod it is within its zone as well.
+func (c *cells) ask(r *core.Request) *cell.Request {
+	ask := cell.Request{Tenant: r.Tenant, Key: r.Key, Repeat: r.Repeat}
+	if r.Key != "" {
+		ask.Window = c.node.set.Load().windows[r.Class]
 	}
-	if c.of == nil || len(c.of) >= tenantsMost {
-		c.of = map[string][]uint32{}
-	}
-	among, known := c.of[r.Tenant]
-	if !known {
-		among = []uint32{} // none is not all
-		for _, s := range c.now.Subset(r.Tenant) {
-			if b := n.names[s.ID]; b != nil {
-				among = append(among, b.number)
-			}
-		}
-		c.of[r.Tenant] = among
+	return &ask
+}
+
+func (c *cells) Place(now time.Duration, r *core.Request) ([]uint32, bool) {
+	return c.Placer.Place(now, c.ask(r))
+}
+
+func (c *cells) Sent(now time.Duration, r *core.Request, server uint32) {
+	if b := c.node.backends[server]; b != nil {
+		c.Placer.Sent(now, c.ask(r), b.entry.Cell)
 	}
-	return among
+}
+
+func (c *cells) Ended(now time.Duration, r *core.Request, o policy.Outcome) {
+	c.Placer.Ended(now, r.Tenant, o == policy.Reset || o == policy.TimedOut)
+}
+
+func (c *cells) Spill(now time.Duration, r *core.Request) []uint32 {
+	return c.Placer.Spill(now, c.ask(r))
 }
 
 // Cell tells operators where a tenant is placed.
 type Cell struct {
-	Version string   `json:"version"` // alike at all nodes that place alike
-	Tenant  string   `json:"tenant"`
-	Servers []string `json:"servers"`
-	Shared  float64  `json:"chance_that_another_has_the_same"`
+	Version  string   `json:"version"` // alike at all nodes that place alike
+	Tenant   string   `json:"tenant"`
+	Servers  []string `json:"servers"`
+	Shared   float64  `json:"chance_that_another_has_the_same"` // of a tenant that is pinned nowhere; else 0
+	Pods     []int64  `json:"pods,omitempty"`                   // it is pinned to
+	Also     []int64  `json:"also,omitempty"`                   // and to these, on both sides of a move
+	Step     string   `json:"step"`                             // of its latest move
+	Keys     int      `json:"keys"`                             // remembered, of all tenants
+	Forgot   int64    `json:"keys_forgot"`
+	Requests float64  `json:"requests"` // lately, fading over 10 s,
+	Spilt    float64  `json:"spilt"`    // and of them to the neighbour
+	Harmful  bool     `json:"harmful"`  // its attempts break: nothing spills
 }
 
 // cellOf is the cell of a tenant; false where there are no cells.
 func (n *node) cellOf(tenant string) (Cell, bool) {
 	n.core.Lock()
 	defer n.core.Unlock()
-	if n.cells.now == nil {
+	if n.cells == nil {
 		return Cell{}, false
 	}
-	out := Cell{Tenant: tenant, Version: strconv.FormatUint(n.cells.now.Version(), 16), Servers: []string{}, Shared: n.cells.now.Shared()}
-	for _, s := range n.cells.now.Subset(tenant) {
+	r := n.cells.Report(n.core.Now(), tenant)
+	out := Cell{Tenant: tenant, Version: strconv.FormatUint(n.cells.Version(), 16), Servers: []string{}, Shared: r.Shared, Pods: r.Pods, Also: r.Also,
+		Step: r.Step.String(), Keys: r.Keys, Forgot: r.Forgot, Requests: r.Requests, Spilt: r.Spilt, Harmful: r.Harmful}
+	for _, s := range r.Servers {
 		out.Servers = append(out.Servers, s.ID)
 	}
 	return out, true
 }
+
+// recell puts the cells' terms of a file that was read again in force. Whether there are cells is settled at the start.
+// The core's lock is held.
+func (n *node) recell(cfg Config) error {
+	var has bool
+	if has = cfg.Product != nil && cfg.Product.Cells != nil; has != (n.cells != nil) {
+		return fmt.Errorf("cells: can't be put in or taken out by a reload")
+	}
+	if !has {
+		return nil
+	}
+	terms, err := cfg.Product.Cells.Terms()
+	if err != nil {
+		return err
+	}
+	n.cells.Change(terms)
+	return nil
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -150,7 +150,7 @@
 			return Config{}, fmt.Errorf("PORTSTALL_FILE: %s: %w", path, err)
 		}
 		if c := cfg.Product.Cells; c != nil {
-			if _, err := c.Plan(); err != nil {
+			if _, err := c.Terms(); err != nil {
 				return Config{}, fmt.Errorf("PORTSTALL_FILE: %s: %w", path, err)
 			}
 		}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -212,7 +213,6 @@
 	n.version = l.Version
 	entries := make([]policy.Entry, 0, len(l.Servers))
 	seen := map[string]bool{}
-	var at map[string][]*backend // by address, where a new one is listed
 	for i := range l.Servers {
 		seen[l.Servers[i].ID] = true
 	}
@@ -238,14 +238,8 @@
 		case b == nil && e.State == policy.Left:
 			continue
 		case b == nil:
-			if at == nil {
-				at = map[string][]*backend{}
-				for _, o := range n.names {
-					at[o.Addr] = append(at[o.Addr], o)
-				}
-			}
-			for _, o := range at[s.Addr] {
-				if n.names[o.ID] == o && !o.left && !seen[o.ID] {
+			for _, o := range n.addrs[s.Addr] {
+				if !o.left && !seen[o.ID] {
 					// Its process can't be there any more: what goes to its address reaches the new one.
 					entries = append(entries, policy.Entry{ID: o.number, State: policy.Left})
 					n.drop(o)
@@ -260,7 +254,7 @@
 			n.pool.Clear(old.Server, true)
 		}
 		b.entry = *s
-		n.names[s.ID], n.backends[b.number] = b, b
+		n.enlist(b)
 		e.ID = b.number
 		entries = append(entries, e)
 		switch e.State {
@@ -292,6 +286,27 @@
 	}
 }
 
+// enlist makes a backend the one of its id, number and address.
+func (n *node) enlist(b *backend) {
+	if old := n.names[b.ID]; old != b {
+		n.delist(old)
+		n.names[b.ID], n.addrs[b.Addr] = b, append(n.addrs[b.Addr], b)
+	}
+	n.backends[b.number] = b
+}
+
+// delist forgets the backend of an id, which may be none.
+func (n *node) delist(b *backend) {
+	if b == nil {
+		return
+	}
+	delete(n.names, b.ID)
+	n.addrs[b.Addr] = slices.DeleteFunc(n.addrs[b.Addr], func(o *backend) bool { return o == b })
+	if len(n.addrs[b.Addr]) == 0 {
+		delete(n.addrs, b.Addr)
+	}
+}
+
 // drainBackend lets nothing new be written to a backend once its grace is over, less the time that the news took.
 func (n *node) drainBackend(b *backend) {
 	grace := n.set.Load().Policy.DrainGrace * 9 / 10
@@ -322,7 +337,7 @@
 			return // listed again meanwhile
 		}
 		if n.names[b.ID] == b {
-			delete(n.names, b.ID)
+			n.delist(b)
 		}
 		if n.backends[b.number] == b {
 			delete(n.backends, b.number)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,11 +56,12 @@
 
 	// Guarded by the core's lock.
 	disc     *discovery
-	names    map[string]*backend // listed backends by discovery's id
-	backends map[uint32]*backend // the same by the policy's number, and those that left until their grace is over
+	names    map[string]*backend   // listed backends by discovery's id
+	addrs    map[string][]*backend // the same by address
+	backends map[uint32]*backend   // the same by the policy's number, and those that left until their grace is over
 	nextNum  uint32
-	version  int64 // of the list
-	cells    cells
+	version  int64        // of the list
+	cells    *cells       // nil: there are none
 	ways     []config.Way // to web servers behind proxies; not changed after the start
 	ready    bool         // some backend is listed as ready
 }
@@ -143,10 +144,19 @@
 // start brings up all of a node but its listener, with what a predecessor left if there was one. The returned
 // function ends what was started.
 func start(cfg Config, old *estate, log *slog.Logger) (*node, func(), error) {
-	n := &node{cfg: cfg, log: log, names: map[string]*backend{}, backends: map[uint32]*backend{},
+	n := &node{cfg: cfg, log: log, names: map[string]*backend{}, addrs: map[string][]*backend{}, backends: map[uint32]*backend{},
 		hand: hand{disabled: map[string]bool{}, returned: map[string]time.Duration{}}}
+	o := core.Options{Clock: clock{time.Now()}, Back: n, Roster: n, Log: log, Transit: transit}
+	if cfg.Product != nil && cfg.Product.Cells != nil {
+		terms, err := cfg.Product.Cells.Terms()
+		if err != nil {
+			return nil, nil, fmt.Errorf("cells: %w", err)
+		}
+		n.cells = &cells{cell.NewPlacer(terms), n}
+		o.Cells = n.cells
+	}
 	var err error
-	n.core, err = core.New(cfg.Settings.Policy, cfg.Seed, core.Options{Clock: clock{time.Now()}, Back: n, Roster: n, Log: log, Transit: transit})
+	n.core, err = core.New(cfg.Settings.Policy, cfg.Seed, o)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -155,14 +165,6 @@
 		n.core.Close()
 		return nil, nil, fmt.Errorf("contracts: %w", err)
 	}
-	if cfg.Product != nil && cfg.Product.Cells != nil {
-		plan, err := cfg.Product.Cells.Plan()
-		if err != nil {
-			n.core.Close()
-			return nil, nil, fmt.Errorf("cells: %w", err)
-		}
-		n.cells.now = cell.New(plan)
-	}
 	if cfg.Product != nil && cfg.Product.Tunnels != nil {
 		if n.ways, err = cfg.Product.Tunnels.Ways(); err != nil {
 			n.core.Close()
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -18,14 +18,18 @@
 type settings struct {
 	wire.Settings
 	effects map[string]policy.Effect // of the classes
+	windows map[string]time.Duration // of those whose keys bind them to a pod or zone
 	before  map[string]policy.Effect // of those until the last reload,
 	until   time.Time                // which count until then
 }
 
 func newSettings(set wire.Settings) *settings {
-	s := &settings{Settings: set, effects: map[string]policy.Effect{}}
+	s := &settings{Settings: set, effects: map[string]policy.Effect{}, windows: map[string]time.Duration{}}
 	for _, c := range set.Policy.Classes {
 		s.effects[c.Name] = c.Effect
+		if c.Effect == policy.Keyed && c.Group != policy.GroupAll {
+			s.windows[c.Name] = c.Window
+		}
 	}
 	return s
 }
@@ -91,6 +95,10 @@
 		n.log.Error("the new contracts are bad; keeping all as it is", "err", err)
 		return
 	}
+	if err := n.recell(cfg); err != nil {
+		n.log.Error("the new cells are bad; keeping all as it is", "err", err)
+		return
+	}
 	n.retune(cfg.Settings)
 	n.core.Bind(table)
 	n.log.Info("new settings are in force", "classes", len(cfg.Settings.Policy.Classes),
