Health: agent, HTTP, TCP and gRPC checks, an evidence table, and answers about ourselves

internal/health weighs what agents, active checks and real requests say by a table of who may do what and for how long; real answers outweigh "down", operators outweigh all, and where most of a fleet is said to be bad the sayers are suspected for half a minute. Probes have a budget for the node and a bound for a server over all nodes. probe asks by HAProxy's agent-check, HTTP, TCP and grpc-go; party answers agent-check, HTTP and gRPC on listeners of its own from a look that nobody waits for. Verdicts reach the policy as out, back (cold) and a weight (EvWeigh, new). Model and rig play agents that lie, stall, flip and contradict; a page tells why a server is out. Off unless the file says so.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -29,6 +29,7 @@
 	Parts     string     `yaml:"parts"` // of each contract that a node hands out: seen (as the reports tell; the default) or even
 	Tunnels   *Tunnels   `yaml:"tunnels"`
 	Cells     *Cells     `yaml:"cells"`
+	Health    *Health    `yaml:"health"`
 }
 
 // Cells give each tenant a subset of the web servers of its own, spread over zones and pods.
@@ -367,6 +368,11 @@
 			}
 		}
 	}
+	if f.Health != nil {
+		if err := f.Health.check(); err != nil {
+			return err
+		}
+	}
 	if f.Cells != nil {
 		if _, err := f.Cells.Terms(); err != nil {
 			return err
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -3,7 +3,10 @@
 package fleet
 
 import (
+	"fmt"
 	"math"
+	"slices"
+	"strings"
 	"time"
 
 	"portstall/internal/lab/oracle"
@@ -165,6 +168,43 @@
 	}
 }
 
+// CheckOK is what a check finds where all is well.
+const CheckOK = "ok"
+
+// Says is what the agent beside a server that is up says, or what a check of it finds; false: nothing comes. An agent knows
+// of its own server what a program beside it can: that it is told to finish, that it answers with errors, how much slower
+// it is. A check sees whether its page is answered, whatever becomes of requests.
+func Says(s *scenario.Scenario, active []bool, hits [][]int, server int, t *Trouble, agent bool, now time.Duration) (text string, answers bool) {
+	drains := false
+	for i := range s.Faults {
+		f := &s.Faults[i]
+		if !active[i] || !slices.Contains(hits[i], server) {
+			continue
+		}
+		switch {
+		case agent && f.Kind == "agent_says":
+			turns := strings.Split(f.Says, "|")
+			return turns[int(now/time.Second)%len(turns)], f.Says != ""
+		case !agent && f.Kind == "check_fails":
+			return "said to fail", true
+		}
+		drains = drains || f.Kind == "drain"
+	}
+	switch {
+	case !agent && (t.Backlog || t.NoWay):
+		return "no answer", false
+	case !agent:
+		return CheckOK, true
+	case drains:
+		return "drain", true
+	case t.Errors+t.Resets+t.Cuts >= 0.2:
+		return "down #errors", true
+	case t.Slow > 1 && t.Part > 0:
+		return fmt.Sprintf("up ready %d%%", max(1, int(100/(1+(t.Slow-1)*t.Part)))), true
+	}
+	return "up ready 100%", true
+}
+
 // Books opens the rules' books for a scenario and its servers. Slack lengthens the time limits: nothing in the model, on
 // sockets what can cross on the way.
 func Books(s *scenario.Scenario, servers []scenario.Server, slack time.Duration, stories bool) *oracle.Book {
--- a/internal/lab/model/cell_test.go
+++ b/internal/lab/model/cell_test.go
@@ -36,6 +36,7 @@
 // A tenant moves under load and faults while clients repeat keyed requests whatever they were told: no key leaves its pod, and
 // nothing else of the rules breaks. PORTSTALL_SEEDS plays so many, and tells what the others lost by the move.
 func TestMoveUnderLoad(t *testing.T) {
+	t.Parallel()
 	seeds := 6
 	if v, err := strconv.Atoi(os.Getenv("PORTSTALL_SEEDS")); err == nil {
 		seeds = v
@@ -76,6 +77,7 @@
 	worst        float64 // what the worst keeps
 	touched      int     // others that share a server with it, and
 	half         int     // those that share half of theirs or more
+	beside       int     // of the lost, those that share none: chance, in a short run
 }
 
 // poisoned plays the scenario of a poison with so many servers, nodes and tenants, and cells of a size (0: none).
@@ -92,6 +94,7 @@
 		t.Errorf("cells of %d: %v\n%s", size, r.Broken, r.Breaches[0])
 	}
 	out := harm{others: tenants - 1, worst: 1}
+	var near map[string]bool // that share a server; nil: all do
 	if c := s.Cells.At(time.Unix(1, 0)); c != nil {
 		terms, err := c.Terms()
 		if err != nil {
@@ -102,6 +105,7 @@
 			m.Set(cell.Server{ID: fmt.Sprint(v.ID), Zone: scenario.ZoneName(v.Zone), Pod: int64(v.Pod)})
 		}
 		bad := m.Subset("t7")
+		near = map[string]bool{}
 		for i := range tenants {
 			shared := 0
 			for _, v := range m.Subset(fmt.Sprint("t", i)) {
@@ -111,6 +115,7 @@
 			}
 			if i != 7 && shared > 0 {
 				out.touched++
+				near[fmt.Sprint("t", i)] = true
 			}
 			if i != 7 && 2*shared >= size {
 				out.half++
@@ -124,6 +129,9 @@
 			out.worst = min(out.worst, kept)
 			if kept < 0.95 {
 				out.lost++
+				if near != nil && !near[name] {
+					out.beside++
+				}
 			}
 		}
 	}
@@ -133,6 +141,7 @@
 // A tenant whose requests kill what they reach takes its own cell down and no other whole one. Of 40 tenants on 60 servers
 // those that lose over a twentieth of their worth are few with cells, and nearly all without.
 func TestPoisonStaysInItsCell(t *testing.T) {
+	t.Parallel()
 	with, without := poisoned(t, 60, 2, 40, 6, 25*time.Second), poisoned(t, 60, 2, 40, 0, 25*time.Second)
 	t.Logf("with cells %+v, without %+v", with, without)
 	if with.lost > 12 || without.lost < 30 {
--- a/internal/lab/model/contract_test.go
+++ b/internal/lab/model/contract_test.go
@@ -76,6 +76,7 @@
 
 // A team alone uses what the others leave: with contracts it gets at least 95% of what it gets without.
 func TestLoneTeamUsesTheFleet(t *testing.T) {
+	t.Parallel()
 	served := func(contracts bool) float64 {
 		sum := 0.0
 		for seed := uint64(1); seed <= 4; seed++ {
@@ -104,6 +105,7 @@
 // A team whose requests turn twenty times heavier without a word in the hint pays for it: with a limit of work in its
 // contract the others keep their worth. Its debt is what shuts it out, as no hint and no rate tells.
 func TestHeavierThanHinted(t *testing.T) {
+	t.Parallel()
 	heavier := func(s *scenario.Scenario) {
 		s.Tenants[2].Hints = 0.05
 		s.Faults = []scenario.Fault{{Kind: "heavy", At: 5e9, For: 40e9, Part: 1, Factor: 20, Tenant: "reporting"}}
@@ -129,6 +131,7 @@
 // The January rush: all teams are past their budgets at once. The rules hold, nearly all of the fleet is used, and what
 // is guaranteed is had by each.
 func TestRush(t *testing.T) {
+	t.Parallel()
 	busy := func(bare bool) (float64, measure.Result) {
 		s := library(t, "rush")
 		if bare {
@@ -161,6 +164,7 @@
 // the sum is never above the contract, and what an uneven split leaves unused is the error, always on the side of too
 // little. Where reports tell what servers hold, the parts follow the traffic.
 func TestPartsOfNodes(t *testing.T) {
+	t.Parallel()
 	const rate = 100.0
 	for _, c := range []struct {
 		name        string
--- a/internal/lab/model/model.go
+++ b/internal/lab/model/model.go
@@ -19,6 +19,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"portstall/internal/cell"
+	"portstall/internal/config"
 	"portstall/internal/contract"
 	"portstall/internal/lab/fleet"
 	"portstall/internal/lab/measure"
@@ -78,6 +79,9 @@
 	evBack    // a server that was killed for a while returns
 	evStood   // a tunnel has come to stand
 	evCut     // tunnels to a server have had their drain limit
+	evCheck   // a node looks whether a server is to be probed
+	evSaid    // and hears what was said, or that nothing was
+	evWeigh   // it works out anew what to make of all
 	evTake    // a request reaches its node
 	evAsk     // a client's first try
 	kinds
@@ -85,7 +89,7 @@
 
 // rank is the order of the sorts of events at the same instant.
 var rank = [kinds]uint8{evFault: 0, evBack: 0, evNodeDown: 0, evNodeUp: 0, evPublish: 1, evCall: 1, evLost: 1, evNews: 1,
-	evReach: 2, evServe: 2, evDrop: 2, evProbe: 2, evOutcome: 3, evTimeout: 3, evTimer: 3, evProbed: 3, evStood: 3, evCut: 3, evLeave: 4, evOverdue: 4,
+	evReach: 2, evServe: 2, evDrop: 2, evProbe: 2, evOutcome: 3, evTimeout: 3, evTimer: 3, evProbed: 3, evStood: 3, evCut: 3, evCheck: 3, evSaid: 3, evWeigh: 3, evLeave: 4, evOverdue: 4,
 	evTry: 5, evTake: 5, evAsk: 5}
 
 type event struct {
@@ -140,6 +144,8 @@
 	s         *scenario.Scenario
 	set       policy.Settings
 	make      Maker
+	opt       Options
+	checks    *config.Checks // nil: nothing is checked
 	rng       *rand.Rand
 	now       time.Duration
 	heap      []event
@@ -173,6 +179,10 @@
 	Policy  string // its name in the result
 	Make    Maker
 	Stories bool // keep each request's story for breaches; costs time
+	// Sent is called with each send to a server, and Out when a node takes one out by what agents and checks say, or puts it
+	// back. Either may be nil.
+	Sent func(now time.Duration, node, server int)
+	Out  func(now time.Duration, node, server int, out bool)
 	// Watch is called after each simulated second, with what was counted so far. May be nil.
 	Watch func(second int, r *measure.Recorder)
 }
@@ -228,7 +238,7 @@
 }
 
 func newWorld(s *scenario.Scenario, opt Options) *world {
-	w := &world{s: s, set: s.Settings(), make: opt.Make, rng: rand.New(rand.NewPCG(s.Seed, 0x6d6f64656c)),
+	w := &world{s: s, opt: opt, set: s.Settings(), make: opt.Make, rng: rand.New(rand.NewPCG(s.Seed, 0x6d6f64656c)),
 		byID: map[uint32]*server{}, asks: s.Asks(), active: make([]bool, len(s.Faults)), weather: fleet.Weather{Slowdown: 1, Storm: 1},
 		rec: measure.New(s.Warmup, s.Duration), digest: xxhash.New()}
 	w.contracts, w.err = s.Contracts()
@@ -236,6 +246,10 @@
 		terms, err := c.Terms()
 		w.cells, w.err = &terms, errors.Join(w.err, err)
 	}
+	if s.Health != nil && s.Health.Checks != nil {
+		checks, err := s.Health.Checks.Ready()
+		w.checks, w.err = &checks, errors.Join(w.err, err)
+	}
 	longest := time.Duration(0)
 	for _, c := range s.Classes {
 		longest = max(longest, c.Deadline)
@@ -383,7 +397,7 @@
 		}
 	case evPublish:
 		w.publish(w.servers[e.a], policy.State(e.b), e.gen)
-	case evCall, evLost, evNews, evOutcome, evTimeout, evTimer, evProbed, evStood, evCut, evTake:
+	case evCall, evLost, evNews, evOutcome, evTimeout, evTimer, evProbed, evStood, evCut, evCheck, evSaid, evWeigh, evTake:
 		n := w.nodes[e.a]
 		if w.now < n.stopped {
 			if e.kind == evTake {
--- a/internal/lab/model/model_test.go
+++ b/internal/lab/model/model_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"portstall/internal/config"
 	"portstall/internal/lab/measure"
 	"portstall/internal/lab/oracle"
 	"portstall/internal/lab/scenario"
@@ -249,6 +250,7 @@
 
 // What the model says of a single queue is what theory says of it: M/M/1 with one node that sees all.
 func TestAgainstQueueingTheory(t *testing.T) {
+	t.Parallel()
 	for _, load := range []float64{0.3, 0.6, 0.8} {
 		s := scenario.Default()
 		s.Name, s.Nodes, s.Tenants, s.Duration, s.Warmup = "mm1", 1, nil, time.Duration(1500/(1-load))*time.Second, 10*time.Second
@@ -291,6 +293,7 @@
 
 // Each fault does what it says: something shows in the day that a quiet one does not have.
 func TestFaultsShow(t *testing.T) {
+	t.Parallel()
 	quiet := run(t, small(), Portstall)
 	f := func(kind string) scenario.Fault {
 		f := scenario.Fault{Kind: kind, At: 4 * time.Second, For: 4 * time.Second}
@@ -323,6 +326,15 @@
 			calm := s
 			calm.Faults = nil
 			quiet = run(t, calm, Portstall)
+		case kind == "agent_says" || kind == "check_fails":
+			checks := *sources["both"]
+			s.Health = &config.Health{Checks: &checks}
+			if kind == "agent_says" {
+				s.Faults[0].Says = "down"
+			}
+			calm := s
+			calm.Faults = nil
+			quiet = run(t, calm, Portstall)
 		case kind == "poison":
 			s.Tenants = []scenario.Tenant{{Name: "valley", Share: 1, Usage: 1}}
 			s.Faults[0].Tenant = "valley"
@@ -461,6 +473,7 @@
 // same time, a roster that tells nothing meanwhile. The rules are kept, the cold ones above all, and most is served again once it
 // is over.
 func TestCellsInTrouble(t *testing.T) {
+	t.Parallel()
 	sec := time.Second
 	for _, c := range []struct {
 		name   string
--- a/internal/lab/model/node.go
+++ b/internal/lab/model/node.go
@@ -19,6 +19,7 @@
 	strain  Strained
 	ledger  *contract.Ledger // nil where there are no contracts
 	cells   *cell.Placer     // nil where there are no cells
+	checker *checker         // nil where nothing is checked
 	life    int32            // counts its starts
 	up      bool
 	died    time.Duration // when it was last killed
@@ -49,11 +50,15 @@
 	if w.cells != nil {
 		n.cells = cell.NewPlacer(*w.cells)
 	}
+	if w.checks != nil {
+		n.checker = w.newChecker(n)
+	}
 	var list []policy.Entry
 	for _, e := range n.known {
 		if e.State != policy.Left {
 			list = append(list, e)
 			n.place(e)
+			n.checker.listed(w, e)
 			w.book.Told(w.now, n.index, e.ID, e.State != policy.Active, since(e.Launched))
 		}
 	}
@@ -132,6 +137,10 @@
 		if e.gen == n.life {
 			w.cutTunnels(n, w.servers[e.b])
 		}
+	case evCheck, evSaid, evWeigh:
+		if e.gen == n.life && n.checker != nil {
+			n.checker.event(w, e)
+		}
 	case evTake:
 		w.take(e.try)
 	case evOutcome:
@@ -164,7 +173,7 @@
 
 // cutTunnels ends those that stand to a server which is still told to be out.
 func (w *world) cutTunnels(n *node, v *server) {
-	if n.known[v.index].State == policy.Active {
+	if !n.toldOut(v.index) {
 		return
 	}
 	for _, t := range n.sortedTries() {
@@ -372,6 +381,9 @@
 	if n.cells != nil {
 		n.cells.Ended(epoch+w.now, w.tenant(t), out == policy.Reset || out == policy.TimedOut)
 	}
+	if out != policy.Full && out != policy.Canceled && out != policy.Moot {
+		n.checker.real(w.now, j.server.ID, out == policy.OK)
+	}
 	served := out == policy.OK && !t.answered
 	never := out == policy.Full || out == policy.ConnectFailed || out == policy.Moot
 	w.book.Ended(w.now, n.index, t.id, j.index, outcomes[out], never, served)
@@ -420,6 +432,9 @@
 		v.fallen = true // and stays down
 	}
 	w.rec.Attempt(t.ask.At)
+	if w.opt.Sent != nil {
+		w.opt.Sent(w.now, n.index, v.index)
+	}
 	j := &job{try: t, server: v, index: len(t.jobs), life: v.life, sent: w.now,
 		left: t.ask.Work.Seconds()}
 	t.jobs = append(t.jobs, j)
--- a/internal/lab/model/roster.go
+++ b/internal/lab/model/roster.go
@@ -142,6 +142,7 @@
 		}
 		n.known[index] = e
 		n.place(e)
-		w.book.Told(w.now, n.index, e.ID, e.State != policy.Active, since(e.Launched))
+		n.checker.listed(w, e)
+		w.book.Told(w.now, n.index, e.ID, n.toldOut(index), since(e.Launched))
 	}
 }
--- a/internal/lab/rig/node.go
+++ b/internal/lab/rig/node.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -58,7 +59,7 @@
 	}
 	cmd := exec.Command(rig.opt.Binary, "node")
 	cmd.Env = append(os.Environ(), "GW_CONFIG="+path, "TMPDIR="+rig.dir)
-	if file := n.file(); len(file.Contracts) > 0 || file.Tunnels != nil || file.Cells != nil {
+	if file := n.file(); len(file.Contracts) > 0 || file.Tunnels != nil || file.Cells != nil || file.Health != nil {
 		own := filepath.Join(rig.dir, fmt.Sprintf("portstall%d.yaml", n.index))
 		text, err := yaml.Marshal(file)
 		if err != nil {
@@ -110,6 +111,11 @@
 func (n *node) file() config.File {
 	s, file := n.rig.s, n.rig.s.File
 	file.Cells = s.Cells.At(n.rig.zero)
+	if n.rig.agentPort != "" {
+		health, checks, agent := *file.Health, *file.Health.Checks, *file.Health.Checks.Agent
+		agent.Port, _ = strconv.Atoi(n.rig.agentPort)
+		checks.Agent, health.Checks, file.Health = &agent, &checks, &health
+	}
 	if n.tunnels == "" && n.opaque == "" && s.Servers.Via == "" {
 		return file
 	}
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"slices"
 	"sync"
@@ -39,18 +40,19 @@
 
 // rig is one run.
 type rig struct {
-	s       *scenario.Scenario
-	opt     Options
-	ctx     context.Context
-	dir     string
-	begun   time.Time
-	zero    time.Time // when the day is to begin, where nodes are told times of it
-	servers []*server
-	nodes   []*node
-	proxies []*standin.Proxy // before every other server each; none: servers are reached directly
-	roster  roster
-	hits    [][]int
-	wg      sync.WaitGroup
+	s         *scenario.Scenario
+	opt       Options
+	ctx       context.Context
+	dir       string
+	begun     time.Time
+	zero      time.Time // when the day is to begin, where nodes are told times of it
+	servers   []*server
+	nodes     []*node
+	agentPort string           // of the agents beside servers; empty: there are none
+	proxies   []*standin.Proxy // before every other server each; none: servers are reached directly
+	roster    roster
+	hits      [][]int
+	wg        sync.WaitGroup
 
 	mu      sync.Mutex
 	weather fleet.Weather
@@ -103,6 +105,13 @@
 	}
 	list := r.s.Fleet()
 	r.hits = r.s.Hits(list)
+	if r.asksAgents() {
+		addr, err := standin.FreeAddr()
+		if err != nil {
+			return err
+		}
+		_, r.agentPort, _ = net.SplitHostPort(addr)
+	}
 	for i, f := range list {
 		v := &server{Server: f, rig: r, index: i, slots: f.Kind.Cores * f.Kind.SlotsPerCore,
 			queueCap: f.Kind.Cores * f.Kind.QueuePerCore, launched: -1, trouble: fleet.Trouble{Slow: 1, Lie: 1},
@@ -111,6 +120,13 @@
 		if err := v.start(); err != nil {
 			return err
 		}
+		if r.agentPort != "" {
+			var err error
+			if v.agent, err = standin.StartAgent(net.JoinHostPort(v.host(), r.agentPort)); err != nil {
+				return err
+			}
+			v.agent.Asks(func() (string, bool) { return v.says(true) })
+		}
 		r.roster.entries = append(r.roster.entries, r.entry(v, "Ready"))
 	}
 	if err := r.roster.start(r.s.Nodes); err != nil {
@@ -158,6 +174,12 @@
 	return err
 }
 
+// asksAgents tells whether nodes ask agents.
+func (r *rig) asksAgents() bool {
+	h := r.s.Health
+	return h != nil && h.Checks != nil && h.Checks.Agent != nil
+}
+
 // entry is a server as the roster lists it. The server's lock is held, or nobody else knows it yet.
 func (r *rig) entry(v *server, state string) listed {
 	e := listed{ID: fmt.Sprintf("s-%d", v.ID), Addr: v.addr, Zone: scenario.ZoneName(v.Zone), Kind: v.Kind.Name, Cell: v.Pod,
@@ -287,5 +309,8 @@
 			v.end()
 		}
 		v.mu.Unlock()
+		if v.agent != nil {
+			v.agent.Stop()
+		}
 	}
 }
--- a/internal/lab/rig/server.go
+++ b/internal/lab/rig/server.go
@@ -16,6 +16,7 @@
 
 	"portstall/internal/lab/fleet"
 	"portstall/internal/lab/scenario"
+	"portstall/internal/lab/standin"
 )
 
 // server is a stand-in web server on a loopback socket. It does no work: a request in work waits for as long as the work
@@ -48,13 +49,14 @@
 	total    float64
 
 	trouble fleet.Trouble
+	agent   *standin.Agent // beside it; nil: there is none
 }
 
 // start opens the server's socket, at the same address each time.
 func (v *server) start() error {
 	addr := v.addr
 	if addr == "" {
-		addr = "127.0.0.1:0"
+		addr = net.JoinHostPort(v.host(), "0")
 	}
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
@@ -71,6 +73,28 @@
 	return nil
 }
 
+// host is the server's: each has one of its own where an agent beside each is asked at the same port.
+func (v *server) host() string {
+	if v.rig.agentPort == "" {
+		return "127.0.0.1"
+	}
+	return fmt.Sprintf("127.0.2.%d", 1+v.index)
+}
+
+// says is what the agent beside it says, or what a check of it finds.
+func (v *server) says(agent bool) (string, bool) {
+	v.mu.Lock()
+	away, trouble := !v.up || v.silent != nil, v.trouble
+	v.mu.Unlock()
+	if away {
+		return "", false
+	}
+	r := v.rig
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return fleet.Says(r.s, r.active, r.hits, v.index, &trouble, agent, r.now())
+}
+
 // track knows the server's connections and turns away those beyond its cap.
 func (v *server) track(c net.Conn, state http.ConnState) {
 	v.mu.Lock()
@@ -101,6 +125,17 @@
 
 // ServeHTTP answers one request as the server's state has it.
 func (v *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/health" {
+		switch text, answers := v.says(false); {
+		case !answers:
+			<-r.Context().Done()
+		case text != fleet.CheckOK:
+			http.Error(w, text, http.StatusInternalServerError)
+		default:
+			io.WriteString(w, text)
+		}
+		return
+	}
 	id := r.Header.Get("X-Request-Id")
 	if id == "" {
 		http.NotFound(w, r)
--- a/internal/lab/scenario/fault.go
+++ b/internal/lab/scenario/fault.go
@@ -23,6 +23,7 @@
 	Class  string        `yaml:"class,omitempty"`  // heavy: the class; empty: all
 	Tenant string        `yaml:"tenant,omitempty"` // flash, heavy: the tenant; empty: all
 	Zone   int           `yaml:"zone,omitempty"`   // zone_loss
+	Says   string        `yaml:"says,omitempty"`   // agent_says: the answer; several, one after the other, parted by |; empty: none comes
 	Nodes  float64       `yaml:"nodes,omitempty"`  // cut: share of the nodes that don't reach the servers
 }
 
@@ -63,6 +64,8 @@
 	"proxy_slow":     {About: "the first proxy before the servers takes the delay to open a connection", Delay: true, Rig: true},
 	"proxy_nonsense": {About: "the first proxy before the servers answers what no proxy does; connections that stand go on", Rig: true},
 	"poison":         {About: "a part of one tenant's requests kills the server that it reaches, which comes back cold after the delay", Part: true, Delay: true},
+	"agent_says":     {About: "the agents beside servers answer as the fault says, whatever is true", Share: true, Rig: true},
+	"check_fails":    {About: "checks of servers fail, whatever is true", Share: true, Rig: true},
 	"zone_loss":      {About: "all servers of one zone go silent; they come back cold", Rig: true},
 }
 
@@ -72,7 +75,7 @@
 	rng := rand.New(rand.NewPCG(seed, 0x64726177))
 	span := s.Duration - s.Warmup
 	kinds := slices.DeleteFunc(KindNames(), func(kind string) bool {
-		return kind == "zone_loss" || kind == "poison" || ofProxies(kind) && s.Servers.Via == ""
+		return kind == "zone_loss" || kind == "poison" || ofChecks(kind) && (s.Health == nil || s.Health.Checks == nil) || ofProxies(kind) && s.Servers.Via == ""
 	}) // it may be the only zone, and a poison wants its tenant
 	s.Seed, s.Faults = seed, nil
 	for range 2 + rng.IntN(4) {
@@ -106,6 +109,9 @@
 // ofProxies tells whether a kind is about the proxies before the servers.
 func ofProxies(kind string) bool { return strings.HasPrefix(kind, "proxy_") }
 
+// ofChecks tells whether a kind is about what nodes are told by agents and checks.
+func ofChecks(kind string) bool { return kind == "agent_says" || kind == "check_fails" }
+
 // KindNames lists all kinds in alphabetical order.
 func KindNames() []string { return Sorted(Kinds) }
 
--- a/internal/lab/scenario/parse.go
+++ b/internal/lab/scenario/parse.go
@@ -233,6 +233,11 @@
 	number("rules.tunnel_drain", r.TunnelDrain.Seconds(), 0.001, 60)
 	span("rules.answer_slack", r.AnswerSlack, 0)
 	number("rules.over_share", r.OverShare, 0, 1)
+	if s.Health != nil && s.Health.Checks != nil {
+		if _, err := s.Health.Checks.Ready(); err != nil && first == nil {
+			first = err
+		}
+	}
 	if first == nil {
 		if _, err := s.Contracts(); err != nil {
 			first = err
@@ -275,6 +280,12 @@
 		if ofProxies(f.Kind) && v.Via == "" {
 			bad(p+"kind", "%s is for scenarios whose servers are reached by way of proxies (servers.via)", f.Kind)
 		}
+		if ofChecks(f.Kind) && (s.Health == nil || s.Health.Checks == nil) {
+			bad(p+"kind", "%s is for scenarios whose nodes check servers (health.checks)", f.Kind)
+		}
+		if f.Says != "" && f.Kind != "agent_says" {
+			bad(p+"says", "a fault of kind %s does not read it", f.Kind)
+		}
 		if f.Kind == "poison" && f.Tenant == "" {
 			bad(p+"tenant", "missing: poison is a tenant's")
 		}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -277,6 +277,13 @@
 	}
 	n.core.Handle(&policy.Event{Kind: policy.EvList, List: kind, Entries: entries})
 	n.hand.listed(n, n.core.Now())
+	if n.checker != nil {
+		for _, e := range entries {
+			if b := n.backends[e.ID]; b != nil {
+				n.checker.listed(b)
+			}
+		}
+	}
 	n.ready = false
 	for _, b := range n.names {
 		if b.Stop.Load() == 0 {
@@ -329,6 +336,7 @@
 	b.left = true
 	n.drainBackend(b)
 	n.cells.changed(b)
+	n.checker.listed(b)
 	stop := b.Stop.Load()
 	time.AfterFunc(n.set.Load().Policy.DrainGrace, func() {
 		n.core.Lock()
--- a/internal/node/hand.go
+++ b/internal/node/hand.go
@@ -51,7 +51,7 @@
 	defer n.hand.order.Unlock()
 	out := o.Call == upgrade.Disable
 	if b := n.disable(o.ID, out, time.Duration(o.At)); b != nil {
-		b.Gate.Set(out) // not under the core's lock: it waits for what is being written
+		b.Gate.Set(out || n.checkedOut(b)) // not under the core's lock: it waits for what is being written
 		if out {
 			n.opaque.Drain(b.Server)
 		}
@@ -74,13 +74,19 @@
 		delete(n.hand.disabled, id)
 		n.hand.returned[id] = at
 	}
-	if b != nil {
+	if b != nil && (out || !n.checker.out(b.number)) { // what else has it out still does
 		ev.Server = b.number
 		n.core.Handle(&ev)
 	}
 	return b
 }
 
+func (n *node) checkedOut(b *backend) bool {
+	n.core.Lock()
+	defer n.core.Unlock()
+	return n.checker.out(b.number)
+}
+
 // listed is called with each list that the policy was handed: a web server out by hand is out also under another
 // number. The core's lock is held.
 func (h *hand) listed(n *node, now time.Duration) {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -31,7 +31,7 @@
 		enc.SetIndent("", "  ")
 		return enc.Encode(v)
 	}
-	return []mgmt.Page{
+	pages := []mgmt.Page{
 		{Path: "explain", Type: "application/json", Write: func(w io.Writer, q url.Values) error {
 			v, err := n.Explain(q)
 			return asJSON(w, v, err)
@@ -63,6 +63,13 @@
 			return nil
 		}},
 	}
+	if n.checker != nil {
+		pages = append(pages, mgmt.Page{Path: "health", Type: "application/json", Write: func(w io.Writer, q url.Values) error {
+			v, err := n.healthOf(q.Get("server"))
+			return asJSON(w, v, err)
+		}})
+	}
+	return pages
 }
 
 // collector reads the ledger when it is asked, so that counting costs requests nothing.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,6 +62,7 @@
 	nextNum  uint32
 	version  int64        // of the list
 	cells    *cells       // nil: there are none
+	checker  *checker     // nil: nothing is checked; its own lock guards it
 	ways     []config.Way // to web servers behind proxies; not changed after the start
 	ready    bool         // some backend is listed as ready
 }
@@ -118,6 +119,11 @@
 			return fmt.Errorf("tunnels: %w", err)
 		}
 	}
+	if p, err := n.answers(ctx); err != nil {
+		return err
+	} else if p != nil {
+		defer p.Close()
+	}
 	go func() {
 		for {
 			select {
@@ -182,6 +188,12 @@
 	n.pair.succeeded, n.pair.stopped = make(chan struct{}), make(chan struct{})
 	n.limits(1)
 	n.disc = newDiscovery(n, cfg.Discovery)
+	if cfg.Product != nil && cfg.Product.Health != nil {
+		if n.checker, err = newChecker(n, cfg.Product.Health.Checks); err != nil {
+			n.core.Close()
+			return nil, nil, err
+		}
+	}
 	// The list can start a watch at once, whose answer must not be taken in before the list is.
 	n.core.Lock()
 	n.core.Bind(table)
@@ -194,9 +206,13 @@
 	if !cfg.Settings.Policy.MustAsk {
 		n.disc.watch() // the policy asks only where lists are not pushed
 	}
+	if n.checker != nil {
+		n.checker.start()
+	}
 	n.core.Unlock()
 	return n, func() {
 		n.core.Close()
+		n.checker.stop()
 		n.disc.http.CloseIdleConnections()
 		n.pool.Stop()
 	}, nil
@@ -274,8 +290,12 @@
 
 // Attempt makes it a core.Back: each request goes by the protocol that it came for.
 func (n *node) Attempt(ctx context.Context, a *core.Attempt) core.Result {
+	var res core.Result
 	if _, ok := a.Request.Message.(*message.Stream); ok {
-		return n.opaque.Attempt(ctx, a)
+		res = n.opaque.Attempt(ctx, a)
+	} else {
+		res = n.http.Attempt(ctx, a)
 	}
-	return n.http.Attempt(ctx, a)
+	n.checker.real(a.Server.(*back.Server), res.Outcome)
+	return res
 }
--- a/internal/node/stub_test.go
+++ b/internal/node/stub_test.go
@@ -45,7 +45,13 @@
 
 func newBox(t testing.TB, answer func(c net.Conn, r *http.Request, nth int) bool) *box {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	return newBoxAt(t, "127.0.0.1", answer)
+}
+
+// newBoxAt is one on a host of its own, which on loopback may be any 127.0.0.0/8.
+func newBoxAt(t testing.TB, host string, answer func(c net.Conn, r *http.Request, nth int) bool) *box {
+	t.Helper()
+	ln, err := net.Listen("tcp", host+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/policy/api.go
+++ b/policy/api.go
@@ -128,6 +128,7 @@
 	EvTimer                     // a timer set by ActTimer is due
 	EvDisable                   // operators took a server out: nothing new to it, whatever the list says
 	EvEnable                    // and put it back: it may have been restarted meanwhile, and counts as cold
+	EvWeigh                     // what is known of a backend besides requests: it is to get Weight of its usual share
 	EvSettings                  // new settings are in force: what was learnt stays, requests under way keep their class
 	EvOther                     // anything the policy does not act on
 )
@@ -193,7 +194,9 @@
 	Repeat   bool          // EvRequest: a client's repeat of its earlier try, where clients say so
 	Among    []uint32      // EvRequest: the backends that it may go to; nil: all. Not changed afterwards
 	Borrowed bool          // EvRequest: it goes on what others leave unused, and is diverted first
-	Server   uint32        // EvOutcome, EvDisable, EvEnable
+	Server   uint32        // EvOutcome, EvDisable, EvEnable, EvWeigh
+	Weight   float64       // EvWeigh: from 0 (as little as can be) to 1 (the usual)
+	Most     int           // EvWeigh: and no more than so many requests at a time, of all nodes; 0: no bound
 	Attempt  int           // EvOutcome: number of the attempt, from 0 in the order of the sends
 	Took     time.Duration // EvOutcome: since the send
 	Last     bool          // EvOutcome: the request is finished
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -115,6 +115,10 @@
 		}
 	case EvEnable:
 		b.enable(t, ev)
+	case EvWeigh:
+		if s := b.servers[ev.Server]; s != nil {
+			s.less, s.most = 1-min(1, max(1e-3, ev.Weight)), float64(ev.Most)
+		}
 	case EvSettings:
 		b.retune(ev.Settings)
 	case EvTimer:
@@ -527,7 +531,7 @@
 			}
 		}
 		occupancy, service := s.update(now, b)
-		if s.mode > worst || !b.usable(now, r, s) {
+		if s.mode > worst || !b.usable(now, r, s) || s.most > 0 && occupancy >= s.most {
 			continue
 		}
 		if ramp := b.ramp(s, now); ramp < 1 {
@@ -556,6 +560,7 @@
 		if s.near {
 			weight *= ownZone
 		}
+		weight *= 1 - s.less
 		sum += weight
 		if b.rng.Float64()*sum < weight { // so that each is drawn with its part of the whole sum
 			chosen = s
@@ -790,7 +795,7 @@
 		return
 	}
 	s := started(now, now)
-	s.Entry, s.grace = old.Entry, old.grace
+	s.Entry, s.grace, s.less, s.most = old.Entry, old.grace, old.less, old.most
 	b.servers[ev.Server] = s // attempts that are out keep their own hold on the old one
 	b.arrange(s)
 	b.plan(now)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -808,6 +808,47 @@
 	}
 }
 
+// What else is known of a server lowers its part of the draws, or bounds what it is sent at a time, until it is said
+// to be as usual again; put back by operators it is no heavier than before.
+func TestWeighedServer(t *testing.T) {
+	b := node(t, settings(), Entry{ID: 1, Zone: "a"}, Entry{ID: 2, Zone: "a"})
+	weigh := func(weight float64, most int) {
+		b.Handle(t0, &Event{Kind: EvWeigh, Server: 1, Weight: weight, Most: most}, nil)
+	}
+	asked := 0
+	part := func(held float64) float64 {
+		to := map[uint32]int{}
+		for range 400 {
+			fix(b.servers[1], t0, held)
+			fix(b.servers[2], t0, held)
+			asked++
+			to[ask(b, t0, strconv.Itoa(asked), "top").Server]++
+		}
+		return float64(to[1]) / 400
+	}
+	b.Handle(t0, &Event{Kind: EvWeigh, Server: 7, Weight: 1}, nil)
+	for _, c := range []struct{ weight, low, high float64 }{{1, 0.4, 0.6}, {0.25, 0.12, 0.28}, {0, 0, 0.01}, {7, 0.4, 0.6}} {
+		weigh(c.weight, 0)
+		if got := part(1); got < c.low || got > c.high {
+			t.Errorf("weight %v: %v of the draws", c.weight, got)
+		}
+	}
+	weigh(1, 2)
+	if got := part(1); got < 0.4 {
+		t.Errorf("under its bound: %v", got)
+	}
+	weigh(1, 1)
+	if got := part(1); got != 0 {
+		t.Errorf("at its bound: %v", got)
+	}
+	weigh(0.25, 0)
+	b.Handle(t0, &Event{Kind: EvDisable, Server: 1}, nil)
+	b.Handle(t0, &Event{Kind: EvEnable, Server: 1}, nil)
+	if got := b.servers[1].less; got != 0.75 {
+		t.Errorf("put back: less by %v", got)
+	}
+}
+
 // Nodes that lose the list together must not ask again together.
 func TestAskingAgainIsJittered(t *testing.T) {
 	seen := map[float64]bool{}
--- a/policy/state.go
+++ b/policy/state.go
@@ -61,6 +61,8 @@
 	disabled  bool    // taken out by operators
 	trial     bool    // one attempt at a time until one succeeds
 	near      bool    // in this node's own zone
+	less      float64 // part of its usual share that it is not to get
+	most      float64 // requests that it is to hold at most; 0: no bound
 	grace     float64 // not listed any more, but used until then: the list came empty
 	ejected   float64 // nothing is sent until then
 	launched  float64
