Membership: SWIM with facts signed by their authors, keys that roll, evidence of others

internal/member is a pure state machine after SWIM and Lifeguard over packets and time. Only a member says that it is there or leaves, an accusation is its accuser's, nobody says that another is dead: each counts accusers itself. Packets name their receiver and are taken once; a name that two instances have leaves one of them; a cut heals, also when keys were rolled in it. Ed25519 keys roll by files in steps that a crash may end; `portstall keys` and `portstall members`; a page. Evidence on web servers is signed by its witness, fades, and by the median of two or more makes a node look sooner and send half. A sender's bytes a second are bounded. Off, no socket opens.

Ten real instances on loopback, one lying, beside forgeries.

--- a/cmd/portstall/cli_test.go
+++ b/cmd/portstall/cli_test.go
@@ -24,6 +24,7 @@
 		return path
 	}
 	out := filepath.Join(t.TempDir(), "results.jsonl")
+	key := filepath.Join(t.TempDir(), "key")
 	for _, c := range []struct {
 		args string
 		code int
@@ -58,6 +59,15 @@
 		{"lab replay gray --policy naive --shrink", 1, "of 5 faults are enough"},
 		{"lab load smoke --addr 192.0.2.1:80 --for 1s", 2, "no loopback address"},
 		{"demo nowhere", 2, "nowhere"},
+		{"keys make " + key, 0, "="},
+		{"keys make " + key, 1, "exists"},
+		{"keys show " + key, 0, "="},
+		{"keys roll " + key, 1, "no such file"},
+		{"keys next " + key, 0, "="},
+		{"keys roll " + key, 0, "="},
+		{"keys show /does/not/exist", 1, "/does/not/exist"},
+		{"members --mgmt 127.0.0.1:1", 1, "refused"},
+		{"members", 2, "--mgmt"},
 	} {
 		cmd := exec.Command(bin, strings.Fields(c.args)...)
 		var out bytes.Buffer
--- a/cmd/portstall/main.go
+++ b/cmd/portstall/main.go
@@ -30,6 +30,8 @@
 	Demo    demoCmd    `cmd:"" help:"Play a short day on loopback, with real nodes and stand-ins, and show it as it happens."`
 	Lab     labCmd     `cmd:"" help:"Play scenarios: the fleet model in virtual time, or the rig on real sockets."`
 	Config  configCmd  `cmd:"" help:"Look at configuration files."`
+	Keys    keysCmd    `cmd:"" help:"Make, show and roll the keys by which instances know each other."`
+	Members membersCmd `cmd:"" help:"Show whom a node holds for a member, how they stand and why."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -30,6 +30,7 @@
 	Tunnels   *Tunnels   `yaml:"tunnels"`
 	Cells     *Cells     `yaml:"cells"`
 	Health    *Health    `yaml:"health"`
+	Members   *Members   `yaml:"members"`
 }
 
 // Cells give each tenant a subset of the web servers of its own, spread over zones and pods.
@@ -373,6 +374,11 @@
 			return err
 		}
 	}
+	if f.Members != nil {
+		if _, err := f.Members.settings(); err != nil {
+			return err
+		}
+	}
 	if f.Cells != nil {
 		if _, err := f.Cells.Terms(); err != nil {
 			return err
--- a/internal/health/evidence_test.go
+++ b/internal/health/evidence_test.go
@@ -60,6 +60,9 @@
 	real := func(s float64, ok bool) func(*Book) time.Duration {
 		return func(b *Book) time.Duration { b.Real(at(s), 0, ok); return at(s) }
 	}
+	others := func(s float64) func(*Book) time.Duration {
+		return func(b *Book) time.Duration { b.Others(at(s), 0); return at(s) }
+	}
 	look := func(s float64) func(*Book) time.Duration { return func(*Book) time.Duration { return at(s) } }
 	type play = []func(*Book) time.Duration
 	for _, c := range []struct {
@@ -100,6 +103,10 @@
 		{"check: good ones do not take back an agent's drain", play{agent(1, "drain"), check(2, true), check(3, true), check(4, true)}, drain, "-"},
 		{"check: two good ones bring back what failed ones took out", play{check(1, false), check(2, false), check(3, false), check(4, true), check(5, true)}, in(1), "-"},
 		{"agent: up does not bring back what checks took out", play{check(1, false), check(2, false), check(3, false), agent(3.5, "up"), agent(4, "up")}, out, "-"},
+		{"others see it fail", play{others(1)}, in(0.5), "-"},
+		{"and it fades", play{others(1), look(3.1)}, in(1), "-"},
+		{"others see it fail, but it answers here", play{real(0.9, true), others(1)}, in(1), "-"},
+		{"others see it fail, and its agent gives it a weight", play{agent(1, "50%"), others(1.1)}, in(0.25), "-"},
 		{"requests: failures alone are the module's affair", play{real(1, false), real(1.1, false), real(1.2, false)}, in(1), "-"},
 	} {
 		b := fleet()
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -87,8 +87,9 @@
 	failed         string
 	good           int // good words of agent or check in a row
 	lastOK, lastKO time.Duration
-	heard          bool // a word ever came
-	real           bool // a real outcome ever came
+	others         time.Duration // when other instances were last heard to see it fail
+	heard          bool          // a word ever came
+	real           bool          // a real outcome ever came
 	verdict        Verdict
 	since          time.Duration // of the latest change between in and out
 	hold           time.Duration
@@ -196,6 +197,13 @@
 	}
 }
 
+// Others takes in that other instances see a server fail: enough to look sooner and send it less, never to take it out.
+func (b *Book) Others(now time.Duration, id uint32) {
+	if s := b.servers[id]; s != nil {
+		s.others = now
+	}
+}
+
 // Spoken tells whether real requests tell enough of a server, so that probes may be seldom.
 func (b *Book) Spoken(now time.Duration, id uint32) bool {
 	s := b.servers[id]
@@ -247,6 +255,10 @@
 	case s.check > 0 && now <= s.check+r.CheckFor && s.fails == 0 && b.failing(now, s):
 		v.Against = "its checks pass, but real requests fail"
 	}
+	if s.others > 0 && now <= s.others+r.Fresh && !b.answers(now, s) {
+		v.Weight *= r.Doubted
+		v.Why = "other instances see it fail"
+	}
 	if v.Why == "" && v.Weight < 1 {
 		v.Why = "its agent lowers its weight"
 	}
--- a/internal/health/schedule.go
+++ b/internal/health/schedule.go
@@ -92,6 +92,14 @@
 	return a.id, true, 0
 }
 
+// Sooner lets a server be probed now, within the node's budget, unless its probe is out.
+func (s *Schedule) Sooner(now time.Duration, id uint32) {
+	if a := s.of[id]; a != nil && a.place >= 0 && a.at > now {
+		a.at = now
+		heap.Fix(&s.due, a.place)
+	}
+}
+
 // Done tells that a server's probe is over. Spoken: real requests tell enough of it.
 func (s *Schedule) Done(now time.Duration, id uint32, spoken bool) {
 	a := s.of[id]
--- a/internal/health/schedule_test.go
+++ b/internal/health/schedule_test.go
@@ -88,6 +88,14 @@
 	if _, ok, wait := s.Next(sec); ok || wait != sec/2 {
 		t.Error("a new one: ", ok, wait)
 	}
+	s.Sooner(sec, 2)
+	s.Sooner(sec, 9)
+	if _, ok, wait := s.Next(sec); ok && wait == 0 {
+		s.Done(sec, 2, false)
+		s.Sooner(sec, 2)
+	} else {
+		t.Error("one that is to be probed sooner is not")
+	}
 	if id, _, _ := s.Next(2 * sec); id != 2 {
 		t.Error(id)
 	}
--- /dev/null
+++ b/internal/member/edge_test.go
@@ -0,0 +1,242 @@
+package member
+
+import (
+	"crypto/ed25519"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const patience = 30 * time.Second
+
+func wait(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: did not come", what)
+		}
+	}
+}
+
+// Ten instances on loopback, with Ed25519: they find each other through two seeds; one of them lies, strangers forge; one
+// that stops is given up, one that leaves has left; and none sends more than it may, measured at the sockets.
+func TestTenInstances(t *testing.T) {
+	const n = 10
+	set := Usual()
+	set.Interval, set.Timeout, set.Sync = 100*time.Millisecond, 30*time.Millisecond, time.Second
+	var keys []ed25519.PrivateKey
+	members := map[string][]string{}
+	for i := range n {
+		_, k, err := ed25519.GenerateKey(nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		keys = append(keys, k)
+		members[name(i)] = []string{PublicText(k)}
+	}
+	ring := func(i int) *Ring {
+		r, err := NewRing(keys[i], members)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	var edges []*Edge
+	var seeds []string
+	begun := time.Now()
+	for i := range n {
+		e, err := Listen(t.Context(), Options{Name: name(i), Addr: "127.0.0.1:0", Seeds: seeds, Set: set, Keys: ring(i), Log: slog.New(slog.DiscardHandler)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if edges = append(edges, e); i < 2 {
+			seeds = append(seeds, e.Addr())
+		}
+	}
+	closed := map[int]bool{}
+	defer func() {
+		for i, e := range edges {
+			if !closed[i] {
+				e.Close()
+			}
+		}
+	}()
+	holds := func(i, k int) (s State, known bool) {
+		edges[i].Do(func(_ time.Duration, m *Member) {
+			if p := m.peers[name(k)]; p != nil {
+				s, known = p.State, true
+			}
+		})
+		return
+	}
+	all := func(of, want int, s State) bool {
+		for i := range of {
+			if i == want || closed[i] {
+				continue
+			}
+			if got, known := holds(i, want); !known || got != s {
+				return false
+			}
+		}
+		return true
+	}
+	wait(t, "joining", func() bool {
+		for k := range n {
+			if !all(n, k, Alive) {
+				return false
+			}
+		}
+		return true
+	})
+	// A stranger floods all with forged packets that declare everybody gone, and with nonsense.
+	_, strange, _ := ed25519.GenerateKey(nil)
+	stranger, err := NewRing(strange, map[string][]string{"x": {PublicText(strange)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, err := net.Dial("udp", edges[3].Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer raw.Close()
+	for i := range 300 {
+		p := packet{V: version, Kind: ping, From: name(i % n), To: name(3), Inc: 1 << 60, Seq: uint64(i)}
+		for k := range n {
+			p.Facts = append(p.Facts, state(&Fact{Kind: left, By: name(k), Inc: 1 << 60}, stranger.Sign))
+		}
+		data := seal(&p, stranger.Sign)
+		raw.Write(data[:min(len(data), 900+i)])
+		raw.Write([]byte(strings.Repeat("x", i)))
+	}
+	// One with a valid key accuses everybody, again and again.
+	edges[9].Do(func(now time.Duration, m *Member) {
+		for k := range n - 1 {
+			p := m.peers[name(k)]
+			m.pass(now, fmt.Sprint("lie ", k), state(&Fact{Kind: suspect, By: name(9), About: name(k), Inc: p.Inc}, m.keys.Sign), 9)
+		}
+	})
+	time.Sleep(3 * time.Second)
+	for k := range n {
+		if all(n, k, Dead) || all(n, k, Left) {
+			t.Errorf("%s is held for gone", name(k))
+		}
+	}
+	wait(t, "quiet", func() bool {
+		for k := range n {
+			if !all(n, k, Alive) {
+				return false
+			}
+		}
+		return true
+	})
+	edges[3].Do(func(_ time.Duration, m *Member) {
+		if m.Refused[ErrSignature] == 0 || m.Refused[ErrForm] == 0 {
+			t.Errorf("refused: %v: the forgeries did not arrive", m.Refused)
+		}
+	})
+	closed[4] = true
+	edges[4].Close()
+	wait(t, "one that leaves", func() bool { return all(n, 4, Left) })
+	closed[5] = true
+	edges[5].mu.Lock()
+	edges[5].m.gone = true // it stops without a word
+	edges[5].mu.Unlock()
+	edges[5].Close()
+	wait(t, "one that stops", func() bool { return all(n, 5, Dead) })
+	for i, e := range edges {
+		if most := float64(set.Bytes) * (time.Since(begun).Seconds() + 1); float64(e.Sent()) > most {
+			t.Errorf("%s has sent %d bytes, %.0f are its most", name(i), e.Sent(), most)
+		}
+	}
+}
+
+// Key files: made once, read by their owner alone, rolled in steps of which each may be the last before a crash.
+func TestKeyFiles(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "key")
+	first, err := MakeKey(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := MakeKey(path); !errors.Is(err, os.ErrExist) {
+		t.Errorf("a key is written over: %v", err)
+	}
+	public := func(p string) string {
+		k, err := ReadKey(p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return PublicText(k)
+	}
+	if public(path) != first {
+		t.Error("another key is read than was made")
+	}
+	if _, err := UseNext(path); !errors.Is(err, os.ErrNotExist) || public(path) != first {
+		t.Errorf("no key follows, and one is used: %v", err)
+	}
+	// A crash in the middle of making the next one leaves a part of it.
+	if err := os.WriteFile(path+nextEnding, []byte("bm9uc2"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := UseNext(path); err == nil || public(path) != first {
+		t.Errorf("a broken key is used: %v", err)
+	}
+	next, err := NextKey(path)
+	if err != nil || next == first || public(path) != first {
+		t.Fatal(next, err)
+	}
+	if again, err := NextKey(path); err != nil || again != next { // as after a crash before the file went round
+		t.Errorf("%v, %v: the next key changes", again, err)
+	}
+	if used, err := UseNext(path); err != nil || used != next || public(path) != next {
+		t.Errorf("%v, %v", used, err)
+	}
+	if _, err := UseNext(path); !errors.Is(err, os.ErrNotExist) || public(path) != next { // as after a crash behind it
+		t.Error(err)
+	}
+	for _, mode := range []os.FileMode{0o640, 0o604, 0o666} {
+		if err := os.Chmod(path, mode); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := ReadKey(path); !errors.Is(err, ErrOpen) || !strings.Contains(err.Error(), path) {
+			t.Errorf("mode %o: %v", mode, err)
+		}
+	}
+	_, key, _ := ed25519.GenerateKey(nil)
+	for what, members := range map[string]map[string][]string{
+		"no name": {"": {first}}, "no key": {"a": nil}, "nonsense": {"a": {"x"}}, "a key of two": {"a": {first}, "b": {first}},
+	} {
+		if _, err := NewRing(key, members); err == nil {
+			t.Errorf("%s is taken", what)
+		}
+	}
+}
+
+// Whatever comes as a packet is refused or read, and what is read has the form.
+func FuzzPacket(f *testing.F) {
+	w := newWorld(3, 1)
+	k := w.keys(1)
+	p := packet{V: version, Kind: ping, From: name(1), To: name(0), Inc: 1001, Seq: 9, Facts: []signed{state(&Fact{Kind: alive, By: name(1), Inc: 1001, Addr: "a1"}, k.Sign)}}
+	f.Add(seal(&p, k.Sign))
+	f.Add(encode(&p))
+	f.Add([]byte{0x82, 0x40, 0x40})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if p, err := unseal(data, k); err == nil && (p.V != version || p.From == "" || len(p.Facts) > factsMost) {
+			t.Fatalf("%+v", p)
+		}
+		if fact, err := readFact(data); err == nil && (fact.Kind < alive || fact.Kind > witness || len(fact.Data) > dataMost) {
+			t.Fatalf("%+v", fact)
+		}
+		m := New(0, name(0), "a0", 1, Usual(), w.keys(0), w.rng)
+		m.Receive(sec, "a1", data)
+	})
+}
--- /dev/null
+++ b/internal/member/evidence.go
@@ -0,0 +1,94 @@
+package member
+
+import (
+	"math"
+	"time"
+)
+
+// Evidence is what one member has seen of a web server: never a verdict. It fades from when it was heard of.
+type Evidence struct {
+	By     string
+	Server string
+	Bad    float64 // part of its own latest attempts that failed, from 0 to 1
+	Weight float64 // how many those were, faded
+	At     time.Duration
+	inc    uint64
+	seq    uint64
+}
+
+type evidenceKey struct{ by, server string }
+
+// evidenceTau is over what evidence fades, and evidenceMost how much is remembered.
+const (
+	evidenceTau  = 10 * time.Second
+	evidenceMost = 4096
+)
+
+// Witness tells the others what this member has seen of a web server.
+func (m *Member) Witness(now time.Duration, server string, bad, weight float64) {
+	if len(server) > nameMost || len(server) == 0 || m.gone {
+		return
+	}
+	m.seq++
+	share := uint8(255 * min(1, max(0, bad)))
+	count := uint8(min(255, max(0, weight)))
+	f := &Fact{Kind: witness, By: m.name, About: server, Inc: m.inc, Seq: m.seq, Data: []byte{share, count}}
+	m.pass(now, "witness "+server, state(f, m.keys.Sign), 1)
+}
+
+func (m *Member) witnessed(now time.Duration, f *Fact, s signed) {
+	if len(f.Data) != 2 {
+		return
+	}
+	k := evidenceKey{f.By, f.About}
+	if _, known := m.evidence[k]; !known && len(m.evidence) >= evidenceMost {
+		for key, e := range m.evidence {
+			if now > e.At+3*evidenceTau {
+				delete(m.evidence, key)
+			}
+		}
+		if len(m.evidence) >= evidenceMost {
+			return
+		}
+	}
+	m.evidence[k] = Evidence{By: f.By, Server: f.About, Bad: float64(f.Data[0]) / 255, Weight: float64(f.Data[1]), At: now, inc: f.Inc, seq: f.Seq}
+	m.pass(now, "witness "+f.About+" "+f.By, s, 1)
+}
+
+// Doubted are the web servers that somebody else sees fail, in the order of their names.
+func (m *Member) Doubted(now time.Duration) []string {
+	all := map[string]bool{}
+	for k, e := range m.evidence {
+		if e.Bad > 0.1 && now <= e.At+3*evidenceTau {
+			all[k.server] = true
+		}
+	}
+	return sortedKeys(all)
+}
+
+// Doubt is how much the others' evidence speaks against a web server, from 0 to 1, and of how many of them: what it is worth
+// is a look of one's own, and a share of requests fewer until then. It is the median of the witnesses that are there, so that
+// fewer than half of them, whatever they say, can't move it past what the others saw.
+func (m *Member) Doubt(now time.Duration, server string) (doubt float64, witnesses int) {
+	var seen []float64
+	for _, name := range m.sorted() {
+		e, known := m.evidence[evidenceKey{name, server}]
+		if p := m.peers[name]; !known || p.State > Suspect || e.inc != p.Inc || e.Weight < 1 || now > e.At+3*evidenceTau {
+			continue
+		}
+		seen = append(seen, e.Bad*math.Exp(-float64(now-e.At)/float64(evidenceTau)))
+	}
+	if len(seen) < 2 { // one alone is nobody
+		return 0, len(seen)
+	}
+	return lowerMedian(seen), len(seen)
+}
+
+func lowerMedian(v []float64) float64 {
+	for i := range v { // a handful
+		for k := i; k > 0 && v[k] < v[k-1]; k-- {
+			v[k], v[k-1] = v[k-1], v[k]
+		}
+	}
+	return v[(len(v)-1)/2]
+}
--- /dev/null
+++ b/internal/member/member_test.go
@@ -0,0 +1,336 @@
+package member
+
+import (
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+)
+
+// seeds is how many worlds each test plays; PORTSTALL_MEMBERS asks for more.
+func seeds(few int) int {
+	if n, err := strconv.Atoi(os.Getenv("PORTSTALL_MEMBERS")); err == nil {
+		return n
+	}
+	return few
+}
+
+// settle lets a world join.
+func (w *world) settle(t *testing.T) {
+	t.Helper()
+	for w.now < 60*sec && !w.joined() {
+		w.run(w.now + sec)
+	}
+	if !w.joined() {
+		t.Fatalf("not joined after %v", w.now)
+	}
+}
+
+func (w *world) check(t *testing.T) {
+	t.Helper()
+	if len(w.broken) > 0 {
+		t.Errorf("%d broken: %s", len(w.broken), w.broken[0])
+	}
+	for i, b := range w.bytes {
+		if most := float64(Usual().Bytes) * (w.now.Seconds() + 2); float64(b) > most && w.tap == nil {
+			t.Errorf("%s has sent %d bytes in %v", name(i), b, w.now)
+		}
+	}
+}
+
+// A member dies: how long until the first has given it up, and until all have; and nobody else is given up.
+func TestDetection(t *testing.T) {
+	for _, n := range []int{10, 30} {
+		var first, all []time.Duration
+		for seed := range seeds(8) {
+			w := newWorld(n, uint64(seed))
+			w.settle(t)
+			w.run(w.now + 5*sec)
+			died := w.now
+			w.members[3] = nil
+			var f time.Duration
+			for w.knows(3, Dead) < n-1 {
+				w.run(w.now + sec/10)
+				if f == 0 && w.knows(3, Dead) > 0 {
+					f = w.now - died
+				}
+				if w.now > died+120*sec {
+					t.Fatalf("%d members, seed %d: %d of %d know after two minutes", n, seed, w.knows(3, Dead), n-1)
+				}
+			}
+			first, all = append(first, f), append(all, w.now-died)
+			if len(w.died) > 0 {
+				t.Errorf("%d members, seed %d: living ones were given up: %v", n, seed, w.died)
+			}
+			w.check(t)
+		}
+		slices.Sort(first)
+		slices.Sort(all)
+		t.Logf("%d members: given up by the first after %v (median), by all after %v, %v at most", n, first[len(first)/2], all[len(all)/2], all[len(all)-1])
+	}
+}
+
+// With packets lost and members that are slow, nobody that lives is given up for good.
+func TestLossAndSlowness(t *testing.T) {
+	for _, c := range []struct {
+		loss float64
+		slow int
+	}{{0, 0}, {0.05, 0}, {0.3, 0}, {0, 1}, {0.05, 1}} {
+		falsely, minutes, bytes := 0, 0.0, 0.0
+		for seed := range seeds(3) {
+			w := newWorld(12, uint64(seed))
+			w.settle(t)
+			w.loss = c.loss
+			for i := range c.slow {
+				w.slow[5+i] = true
+			}
+			begun := w.now
+			w.run(w.now + 180*sec)
+			falsely += len(w.died)
+			minutes += (w.now - begun).Minutes()
+			for _, b := range w.bytes {
+				bytes += float64(b) / 12 / w.now.Seconds() / float64(seeds(3))
+			}
+			w.loss, w.slow = 0, map[int]bool{}
+			w.run(w.now + 60*sec)
+			if !w.joined() {
+				t.Errorf("%+v, seed %d: somebody stays given up", c, seed)
+			}
+			w.check(t)
+		}
+		t.Logf("loss %.2f, %d slow: %.1f times an hour one of 12 held a living one for dead, %.0f bytes a second and member", c.loss, c.slow, float64(falsely)/minutes*60, bytes)
+		if c.loss <= 0.05 && c.slow == 0 && falsely > 0 {
+			t.Errorf("loss %.2f: %d living members were given up", c.loss, falsely)
+		}
+	}
+}
+
+// A member stops for ten seconds and wakes: nobody is given up for good, whatever it thinks of the others.
+func TestFrozen(t *testing.T) {
+	for seed := range seeds(3) {
+		w := newWorld(10, uint64(seed))
+		w.settle(t)
+		w.frozen[4] = w.now + 10*sec
+		w.run(w.now + 12*sec)
+		accused := 0
+		for i := range w.members {
+			if i != 4 {
+				accused += w.knows(i, Suspect)
+			}
+		}
+		if accused > 3 {
+			t.Errorf("seed %d: %d are suspected by a member that woke up", seed, accused)
+		}
+		w.run(w.now + 60*sec)
+		if !w.joined() {
+			t.Errorf("seed %d: somebody stays given up", seed)
+		}
+		for k := range w.died {
+			if k[len(k)-2:] != "m4" {
+				t.Errorf("seed %d: %s", seed, k)
+			}
+		}
+		w.check(t)
+	}
+}
+
+// One with a valid key lies: accuses all at every chance, or only to some. Nobody is given up.
+func TestLiar(t *testing.T) {
+	for seed := range seeds(3) {
+		for _, some := range []bool{false, true} {
+			w := newWorld(10, uint64(seed))
+			w.settle(t)
+			liar := w.keys(7)
+			n := uint64(0)
+			w.tap = func(from int, o Out) []Out {
+				if from != 7 || some && o.Addr > addr(4) {
+					return []Out{o}
+				}
+				m := w.members[7]
+				p := packet{V: version, Kind: ping, From: name(7), To: name(w.byAddr[o.Addr]), Inc: m.Inc(), Nonce: 1}
+				m.seq++
+				p.Seq = m.seq
+				for i, other := range w.members {
+					if i == 7 || len(p.Facts) > 8 {
+						continue
+					}
+					n++
+					p.Facts = append(p.Facts, state(&Fact{Kind: suspect, By: name(7), About: name(i), Inc: other.Inc(), Seq: n}, liar.Sign))
+					// Others' words can't be made up: these are refused.
+					p.Facts = append(p.Facts, state(&Fact{Kind: suspect, By: name((i + 1) % 10), About: name(i), Inc: other.Inc(), Seq: n}, liar.Sign),
+						state(&Fact{Kind: left, By: name(i), Inc: other.Inc() + 1}, liar.Sign))
+				}
+				return []Out{o, {Addr: o.Addr, Data: seal(&p, liar.Sign)}}
+			}
+			w.run(w.now + 60*sec)
+			if len(w.died) > 0 || w.knows(3, Left) > 0 {
+				t.Errorf("seed %d, to some %v: %v", seed, some, w.died)
+			}
+			if w.members[0].Refused[ErrSignature] == 0 && !some {
+				t.Error("no forged fact was refused: the test is empty")
+			}
+			w.check(t)
+		}
+	}
+}
+
+// What was said is said again later, to others, cut, padded, and by strangers: nothing of it is taken.
+func TestReplayAndForgery(t *testing.T) {
+	w := newWorld(5, 1)
+	w.settle(t)
+	var old [][]byte
+	w.tap = func(from int, o Out) []Out {
+		if p, err := unseal(o.Data, w.keys(0)); err == nil && from == 2 && p.To == name(0) && len(old) < 50 {
+			old = append(old, o.Data)
+		}
+		return []Out{o}
+	}
+	w.run(w.now + 120*sec)
+	w.tap = nil
+	m := w.members[0]
+	before := m.peers[name(2)].Inc
+	for _, data := range old {
+		if _, err := m.Receive(w.now, addr(2), data); err == nil {
+			t.Error("a replayed packet is taken")
+		}
+		if _, err := w.members[1].Receive(w.now, addr(2), data); err == nil {
+			t.Error("another's packet is taken")
+		}
+		for _, cut := range []int{0, 1, len(data) / 2, len(data) - 1} {
+			if _, err := m.Receive(w.now, addr(2), data[:cut]); err == nil {
+				t.Error("a cut packet is taken")
+			}
+		}
+		if _, err := m.Receive(w.now, addr(2), append(slices.Clone(data), 0)); err == nil {
+			t.Error("a padded packet is taken")
+		}
+		bad := slices.Clone(data)
+		bad[len(bad)/2] ^= 1
+		if _, err := m.Receive(w.now, addr(2), bad); err == nil {
+			t.Error("a changed packet is taken")
+		}
+	}
+	stranger := secrets{map[string]uint64{"x": 1}, "x"}
+	for _, p := range []packet{{V: version, Kind: exchange, From: "x", To: name(0)}, {V: version, Kind: exchange, From: name(3), To: name(0)},
+		{V: version + 1, Kind: exchange, From: name(3), To: name(0)}} {
+		if _, err := m.Receive(w.now, "ax", seal(&p, stranger.Sign)); err == nil {
+			t.Errorf("%+v is taken", p)
+		}
+	}
+	if m.peers[name(2)].Inc != before || m.peers["x"] != nil || m.Refused[ErrReplay] == 0 || m.Refused[ErrForm] == 0 || m.Refused[ErrStranger] == 0 || m.Refused[ErrVersion] == 0 || m.Refused[ErrElsewhere] != 0 {
+		t.Errorf("%v", m.Refused)
+	}
+	w.check(t)
+}
+
+// A member leaves, comes back with a clock that is minutes behind, and is believed again; one that was given up in a cut is
+// taken back once the cut heals, also where both sides have rolled their keys meanwhile.
+func TestComingBack(t *testing.T) {
+	for seed := range seeds(3) {
+		w := newWorld(8, uint64(seed))
+		w.settle(t)
+		w.send(5, w.members[5].Leave(w.now))
+		w.run(w.now + 20*sec)
+		if w.knows(5, Left) != 7 {
+			t.Errorf("seed %d: %d of 7 know that it has left", seed, w.knows(5, Left))
+		}
+		w.start(5, 10) // far behind what it had
+		w.run(w.now + 40*sec)
+		if !w.joined() {
+			t.Fatalf("seed %d: one with an old clock is not taken back", seed)
+		}
+		w.cut = func(from, to int) bool { return (from < 4) != (to < 4) }
+		w.run(w.now + 180*sec)
+		if w.knows(0, Dead) != 4 || w.knows(7, Dead) != 4 {
+			t.Errorf("seed %d: in a cut %d and %d of 4 gave up the other side", seed, w.knows(0, Dead), w.knows(7, Dead))
+		}
+		for i := range w.members { // all roll: the file has gone round before
+			w.secrets[name(i)]++
+		}
+		for i, m := range w.members {
+			m.Rekey(w.now, w.keys(i))
+		}
+		w.run(w.now + 30*sec)
+		w.cut = nil
+		w.run(w.now + 240*sec)
+		if !w.joined() {
+			t.Errorf("seed %d: the cut does not heal", seed)
+		}
+	}
+}
+
+// Two instances with one name: one of them gives way, and the others know one.
+func TestTwoOfOneName(t *testing.T) {
+	w := newWorld(6, 1)
+	w.settle(t)
+	w.members = append(w.members, nil)
+	w.bytes = append(w.bytes, 0)
+	w.secrets["twin"] = 0
+	w.start(6, 5000)
+	w.members[6].name, w.members[6].keys = name(2), w.keys(2)
+	w.members[6].announce(w.now)
+	w.run(w.now + 300*sec)
+	if a, b := w.members[2], w.members[6]; a.gone == b.gone || !(a.Conflict || b.Conflict) {
+		t.Errorf("gone: %v and %v; %d %d rivals, inc %d %d, refused %v", a.gone, b.gone, a.rivals, b.rivals, a.Inc(), b.Inc(), b.Refused)
+	}
+	w.broken = nil // of the oracle's view of a name that two have
+}
+
+// What others say of a web server makes a member look, once two of them say so; a liar can't, and it fades.
+func TestEvidence(t *testing.T) {
+	w := newWorld(7, 1)
+	w.settle(t)
+	say := func(i int, bad float64) { w.members[i].Witness(w.now, "s-1", bad, 20) }
+	say(6, 1)
+	w.run(w.now + 5*sec)
+	if d, n := w.members[0].Doubt(w.now, "s-1"); d != 0 || n != 1 {
+		t.Errorf("one alone: %v of %d", d, n)
+	}
+	for i := 1; i < 6; i++ {
+		say(i, 0)
+	}
+	say(6, 1)
+	w.run(w.now + 5*sec)
+	if d, n := w.members[0].Doubt(w.now, "s-1"); d > 0.01 || n < 5 {
+		t.Errorf("a liar among six: %v of %d", d, n)
+	}
+	for i := 1; i < 6; i++ {
+		say(i, 0.9)
+	}
+	w.run(w.now + 5*sec)
+	if d, n := w.members[0].Doubt(w.now, "s-1"); d < 0.4 || n < 5 {
+		t.Errorf("five say so: %v of %d", d, n)
+	}
+	w.run(w.now + 60*sec)
+	if d, _ := w.members[0].Doubt(w.now, "s-1"); d != 0 {
+		t.Errorf("a minute later: %v", d)
+	}
+	w.check(t)
+}
+
+// PORTSTALL_MANY plays 100 and 1,000 members: how the traffic of each and the time to give one up grow.
+func TestMany(t *testing.T) {
+	if os.Getenv("PORTSTALL_MANY") == "" {
+		t.Skip("PORTSTALL_MANY is not set: it takes minutes")
+	}
+	for _, n := range []int{10, 100, 1000} {
+		w := newWorld(n, 1)
+		for w.now < 600*sec && !w.joined() {
+			w.run(w.now + 5*sec)
+		}
+		joined := w.now
+		begun := append([]int64(nil), w.bytes...)
+		w.run(w.now + 20*sec)
+		died, sent := w.now, 0.0
+		for i, b := range w.bytes {
+			sent += float64(b-begun[i]) / 20 / float64(n)
+		}
+		w.members[3] = nil
+		for w.knows(3, Dead) < n-1 && w.now < died+120*sec {
+			w.run(w.now + sec/2)
+		}
+		t.Logf("%d members: joined by %v, %.0f bytes a second and member, given up by %d of %d after %v, living ones given up %d times", n, joined, sent, w.knows(3, Dead), n-1, w.now-died, len(w.died))
+		w.check(t)
+	}
+}
--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -57,6 +57,8 @@
 	number  uint32
 	applied health.Verdict // what the policy was told
 	unknown string         // words that its agent said and nobody knows
+	oks     float64        // real requests answered lately,
+	kos     float64        // and failed
 }
 
 // newChecker makes the checker of a file; nil where it asks for none. It begins with start.
@@ -258,6 +260,11 @@
 	defer c.mu.Unlock()
 	if id, known := c.ids[s.ID]; known {
 		c.book.Real(c.node.core.Now(), id, o == policy.OK)
+		if s := c.servers[id]; o == policy.OK {
+			s.oks++
+		} else {
+			s.kos++
+		}
 	}
 }
 
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -63,6 +63,11 @@
 			return nil
 		}},
 	}
+	if n.edge != nil {
+		pages = append(pages, mgmt.Page{Path: "members", Type: "application/json", Write: func(w io.Writer, _ url.Values) error {
+			return asJSON(w, n.members(), nil)
+		}})
+	}
 	if n.checker != nil {
 		pages = append(pages, mgmt.Page{Path: "health", Type: "application/json", Write: func(w io.Writer, q url.Values) error {
 			v, err := n.healthOf(q.Get("server"))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"portstall/internal/core"
 	"portstall/internal/flow"
 	fronthttp "portstall/internal/front/http"
+	"portstall/internal/member"
 	"portstall/internal/message"
 	"portstall/internal/mgmt"
 	"portstall/policy"
@@ -63,6 +64,7 @@
 	version  int64        // of the list
 	cells    *cells       // nil: there are none
 	checker  *checker     // nil: nothing is checked; its own lock guards it
+	edge     *member.Edge // nil: no talk among instances
 	ways     []config.Way // to web servers behind proxies; not changed after the start
 	ready    bool         // some backend is listed as ready
 }
@@ -103,6 +105,12 @@
 		return errors.Join(err, ln.Close())
 	}
 	defer stop()
+	if err := n.join(ctx); err != nil {
+		return err
+	}
+	if n.edge != nil {
+		defer n.edge.Close()
+	}
 	if cfg.Mgmt != "" {
 		ln, err := (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp", cfg.Mgmt)
 		if err != nil {
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -85,6 +85,10 @@
 // reload takes in a configuration that was read again: the settings, and the address of discovery. The rest belongs
 // to the process's start.
 func (n *node) reload(cfg Config) {
+	if err := n.rekey(cfg); err != nil {
+		n.log.Error("the new keys are bad; keeping all as it is", "err", err)
+		return
+	}
 	n.core.Lock()
 	defer n.core.Unlock()
 	if n.core.Context().Err() != nil {
