--- a/internal/config/health.go
+++ b/internal/config/health.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"portstall/internal/health"
 	"portstall/internal/health/probe"
 )
 
@@ -193,6 +194,16 @@
 	return all, nil
 }
 
+// Weighing is how often so many nodes, which probe alike, ask a server, and by which rules they weigh what is said. The
+// checks are ready.
+func (c *Checks) Weighing(nodes int) (health.Pace, health.Rules) {
+	share := float64(len(c.Probers())) // they share the budget
+	pace := health.Pace{Interval: c.Interval, Calm: c.Calm, PerServer: c.PerServer / share, Rate: c.Rate / share, Nodes: nodes, Jitter: 0.1}
+	rules := health.Usual(pace.Slowest())
+	rules.Panic, rules.Rise, rules.Fall = c.Panic, c.Rise, c.Fall
+	return pace, rules
+}
+
 // Probers are the protocols that are asked for, by name. The checks are ready.
 func (c *Checks) Probers() map[string]probe.Prober {
 	all := map[string]probe.Prober{}
--- a/internal/lab/model/health.go
+++ b/internal/lab/model/health.go
@@ -6,6 +6,7 @@
 
 	"portstall/internal/health"
 	"portstall/internal/lab/fleet"
+	"portstall/internal/lab/scenario"
 	"portstall/policy"
 )
 
@@ -27,16 +28,11 @@
 )
 
 func (w *world) newChecker(n *node) *checker {
-	set := w.checks
 	c := &checker{node: n, applied: map[uint32]health.Verdict{}}
-	probers := set.Probers()
-	share := float64(len(probers))
-	pace := health.Pace{Interval: set.Interval, Calm: set.Calm, PerServer: set.PerServer / share, Rate: set.Rate / share, Nodes: len(w.nodes), Jitter: 0.1}
-	rules := health.Usual(pace.Slowest())
-	rules.Panic, rules.Rise, rules.Fall = set.Panic, set.Rise, set.Fall
+	pace, rules := w.checks.Weighing(len(w.nodes))
 	c.book = health.NewBook(rules)
 	rng := rand.New(rand.NewPCG(w.s.Seed, 0x636865636b<<16+uint64(n.index)<<8+uint64(n.life)))
-	for name := range probers {
+	for _, name := range scenario.Sorted(w.checks.Probers()) {
 		kind := ofCheck
 		if name == "agent" {
 			kind = ofAgent
--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -71,14 +71,9 @@
 		return nil, err
 	}
 	c := &checker{node: n, set: ready, slots: make(chan struct{}, probesMost), servers: map[uint32]*checked{}, ids: map[string]uint32{}}
-	probers := ready.Probers()
-	share := float64(len(probers)) // they share the budget
-	pace := health.Pace{Interval: ready.Interval, Calm: ready.Calm, PerServer: ready.PerServer / share, Rate: ready.Rate / share,
-		Nodes: n.cfg.Settings.Policy.Nodes, Jitter: 0.1}
-	rules := health.Usual(pace.Slowest())
-	rules.Panic, rules.Rise, rules.Fall = ready.Panic, ready.Rise, ready.Fall
+	pace, rules := ready.Weighing(n.cfg.Settings.Policy.Nodes)
 	c.book = health.NewBook(rules)
-	for name, p := range probers {
+	for name, p := range ready.Probers() {
 		if a, ok := p.(*probe.AgentCheck); ok {
 			a.Unknown = c.unknown
 		}
--- a/internal/node/health_test.go
+++ b/internal/node/health_test.go
@@ -59,6 +59,29 @@
 	return h
 }
 
+// busy lets so many clients ask without pause, until rest is called.
+func (w *ward) busy(t *testing.T, clients int) (rest func()) {
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for k := range clients {
+		c := w.dial(t)
+		wg.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+					c.ask(view(fmt.Sprint("r", k, "-", n)))
+				}
+			}
+		})
+	}
+	return func() {
+		close(stop)
+		wg.Wait()
+	}
+}
+
 func out(h Health) bool { return h.Out }
 func in(h Health) bool  { return !h.Out && h.Weight == 1 }
 
@@ -165,21 +188,7 @@
 	t.Parallel()
 	for i := range 3 {
 		w := newWard(t, 3, "")
-		stop := make(chan struct{})
-		var wg sync.WaitGroup
-		for k := range 4 {
-			c := w.dial(t)
-			wg.Go(func() {
-				for n := 0; ; n++ {
-					select {
-					case <-stop:
-						return
-					default:
-						c.ask(view(fmt.Sprint("r", k, "-", n)))
-					}
-				}
-			})
-		}
+		rest := w.busy(t, 4)
 		wait(t, "load", func() bool { return len(w.boxes[i].requests()) > 20 })
 		asked := w.agents[i].Asked()
 		w.agents[i].Says("drain\n")
@@ -187,8 +196,7 @@
 		told := time.Now()
 		w.says(t, i, "a drain", func(h Health) bool { return h.Out && h.Drain })
 		time.Sleep(time.Until(told.Add(1200 * time.Millisecond)))
-		close(stop)
-		wg.Wait()
+		rest()
 		last := time.Unix(0, w.last[i].Load())
 		t.Logf("the last request came %v after the word", last.Sub(told))
 		if last.After(told.Add(time.Second)) {
@@ -226,27 +234,14 @@
 	for _, id := range []string{"s-1", "s-2"} {
 		must(t, w.Disable(t.Context(), id))
 	}
-	stop := make(chan struct{})
-	var wg sync.WaitGroup
-	c := w.dial(t)
-	wg.Go(func() {
-		for n := 0; ; n++ {
-			select {
-			case <-stop:
-				return
-			default:
-				c.ask(view(fmt.Sprint("r", n)))
-			}
-		}
-	})
+	rest := w.busy(t, 1)
 	wait(t, "requests", func() bool { return len(boxes[0].requests()) > 50 })
 	status.Store(500)
 	h := w.says(t, 0, "a contradiction", func(h Health) bool { return h.Against != "" })
 	if h.Out || h.Weight != 0.5 || !strings.Contains(h.Against, "it answers real requests") {
 		t.Errorf("%+v", h)
 	}
-	close(stop)
-	wg.Wait()
+	rest()
 	if c, err := w.healthOf(""); err != nil || c.Probes == 0 || len(c.Servers) != 3 {
 		t.Errorf("%+v, %v", c, err)
 	}
