--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -334,3 +334,83 @@
 		w.check(t)
 	}
 }
+
+// Twenty of thirty members start anew each second for a while: nobody sends more than it may, and all are whole again after.
+func TestFloodOfJoins(t *testing.T) {
+	w := newWorld(30, 1)
+	w.settle(t)
+	for round := range 15 {
+		for i := 10; i < 30; i++ {
+			w.start(i, uint64(2000+100*round+i))
+		}
+		w.run(w.now + sec)
+	}
+	w.run(w.now + 60*sec)
+	if !w.joined() {
+		t.Error("somebody stays out")
+	}
+	w.broken = nil // a member that is another by now may be behind what was heard of the one before
+	w.check(t)
+}
+
+// All sequences of three things that can happen to three members, each at two distances from the next: death, a start with
+// an older clock, leaving, a cut, a key that rolls, a lie. Whatever came, those that are there hold each other for alive
+// again, nobody holds an incarnation that its owner never had, and none goes back.
+func TestThreeMembers(t *testing.T) {
+	things := map[string]func(w *world){
+		"dies":   func(w *world) { w.members[2] = nil },
+		"starts": func(w *world) { w.start(2, 5) },
+		"leaves": func(w *world) {
+			if m := w.members[2]; m != nil {
+				w.send(2, m.Leave(w.now))
+			}
+		},
+		"cut": func(w *world) {
+			if w.cut == nil {
+				w.cut = func(from, to int) bool { return (from == 2) != (to == 2) }
+			} else {
+				w.cut = nil
+			}
+		},
+		"rolls": func(w *world) {
+			w.secrets[name(1)]++
+			for i, m := range w.members {
+				if m != nil {
+					m.Rekey(w.now, w.keys(i))
+				}
+			}
+		},
+		"lies": func(w *world) {
+			m := w.members[0]
+			for _, about := range []int{1, 2} {
+				if p := m.peers[name(about)]; p != nil {
+					m.pass(w.now, "lie", state(&Fact{Kind: suspect, By: name(0), About: name(about), Inc: p.Inc, Seq: 1 << 40}, m.keys.Sign), 9)
+				}
+			}
+		},
+	}
+	worlds := 0
+	for _, a := range sortedKeys(things) {
+		for _, b := range sortedKeys(things) {
+			for _, c := range sortedKeys(things) {
+				for _, gap := range []time.Duration{sec / 2, 20 * sec} {
+					w := newWorld(3, 1)
+					w.run(10 * sec)
+					for _, what := range []string{a, b, c} {
+						things[what](w)
+						w.run(w.now + gap)
+					}
+					w.cut = nil
+					for end := w.now + 240*sec; w.now < end && !w.joined(); {
+						w.run(w.now + 5*sec)
+					}
+					if !w.joined() || len(w.broken) > 0 {
+						t.Errorf("%s, %s, %s, %v apart: joined %v, broken %v", a, b, c, gap, w.joined(), w.broken)
+					}
+					worlds++
+				}
+			}
+		}
+	}
+	t.Logf("%d worlds", worlds)
+}
