config check reads the product's own file, as its first line promises

deploy/portstall.yaml says that `portstall config check` tells whether it is sound, but the call took every YAML file without a list of scenarios for a scenario, and answered "name: missing". A file with a name at its top is the lab's, any other is the product's own; an error names its field.

Checked: the file itself, the examples of docs/cells.md and docs/health.md are good, and a cell of size 0 is refused by its field (a test). The node is untouched.

--- a/cmd/portstall/cli_test.go
+++ b/cmd/portstall/cli_test.go
@@ -43,6 +43,8 @@
 		{"config check " + yaml("name: x\nnodes: 0\n"), 2, "day.yaml:2: nodes: 0 is outside"},
 		{"config check " + yaml("name: x\n"), 0, "good"},
 		{"config check ../../deploy/lab/experiments/peers.yaml", 0, "good"},
+		{"config check ../../deploy/portstall.yaml", 0, "good"},
+		{"config check " + yaml("cells: {size: 0}\n"), 2, "cells.size: 0"},
 		{"lab list", 0, "metastable"},
 		{"lab faults", 0, "roster_down"},
 		{"lab run smoke --seeds 1-2 --quiet", 0, "| smoke | portstall | 2 |"},
--- a/cmd/portstall/config.go
+++ b/cmd/portstall/config.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"regexp"
 
+	product "portstall/internal/config"
 	"portstall/internal/lab/experiment"
 	"portstall/internal/lab/scenario"
 	"portstall/internal/node"
@@ -18,13 +20,13 @@
 }
 
 type configCheckCmd struct {
-	File string `arg:"" help:"A node's JSON configuration, or a scenario or experiment of the lab in YAML."`
+	File string `arg:"" help:"A node's JSON configuration, the product's own file, or a scenario or experiment of the lab in YAML."`
 }
 
 func (c configCheckCmd) Run() error {
 	check := checkNodeConfig
 	if ext := filepath.Ext(c.File); ext == ".yaml" || ext == ".yml" {
-		check = checkLabFile
+		check = checkYAML
 	}
 	if err := check(c.File); err != nil {
 		return usageError{err}
@@ -59,16 +61,22 @@
 	return fmt.Errorf("%s: %w", path, err)
 }
 
-// checkLabFile reads a scenario or an experiment.
-func checkLabFile(path string) error {
+// named is what a scenario or an experiment has at its top, and the product's own file does not.
+var named = regexp.MustCompile(`(?m)^name\s*:`)
+
+// checkYAML reads a scenario, an experiment or the product's own file.
+func checkYAML(path string) error {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return err
 	}
-	if experiment.IsExperiment(text) {
+	switch {
+	case experiment.IsExperiment(text):
 		_, err = experiment.Parse(path, text)
-	} else {
+	case named.Match(text):
 		_, err = scenario.Parse(path, text)
+	default:
+		_, err = product.Parse(path, text)
 	}
 	return err
 }
