Members ask whom they have forgotten where it is, instead of waiting for an exchange

When a rolled key's old half is struck off, a member drops what that key had signed, and with it the member itself until its next announcement. A ping of one that is not known was answered with all that is known, which the pinger had; now it is asked for its own, so that it is back with its next ping and not after an exchange of up to half a minute. Under a busy machine that had failed a test of a roll on four nodes.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -543,9 +543,9 @@
 	if m.gone {
 		return nil
 	}
-	if sender = m.peers[p.From]; sender == nil { // not before it has said where it is
+	if sender = m.peers[p.From]; sender == nil { // not before it has said where it is: it is asked
 		if p.Kind == ping || p.Kind == exchange {
-			m.send(now, p.From, from, packet{Kind: exchanged, Facts: m.all(now)})
+			m.send(now, p.From, from, packet{Kind: exchange, Facts: m.all(now)})
 		}
 		return nil
 	}
