One piece for what stood twice: verdicts to the policy, who has a server out, accept loops

Node and model each turned a verdict into the policy's events, and each knew which outcomes tell of a server and which harm: health.Steps, health.Tells and cell.Placer.Ended serve both, so that the model plays what the node does. Who has a server out was put together in four places of the node; keptOut is one, and disable tells its gate. flow.Serve is the bounded accept loop of the agent-check's listener and of members' TCP (which now logs an accept that fails, too). Members draw from one list of names, keep accusations as they were signed and sort by the library. Fields, methods and a check of the cells' terms that nothing used are gone.

--- a/internal/cell/placer.go
+++ b/internal/cell/placer.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"portstall/policy"
 )
 
 const (
@@ -163,11 +165,11 @@
 	}
 }
 
-// Ended notes how an attempt of a tenant ended. Harm: the connection broke, or nothing came in time.
-func (p *Placer) Ended(now time.Duration, tenant string, harm bool) {
+// Ended notes how an attempt of a tenant ended. It is a harm if the connection broke, or nothing came in time.
+func (p *Placer) Ended(now time.Duration, tenant string, o policy.Outcome) {
 	t := p.note(now, tenant)
 	t.attempts++
-	if harm {
+	if o == policy.Reset || o == policy.TimedOut {
 		t.harms++
 	}
 }
--- a/internal/cell/placer_test.go
+++ b/internal/cell/placer_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"portstall/policy"
 )
 
 // terms pin one tenant, which moves at 100 s and is cut over at 130.
@@ -130,7 +132,7 @@
 				to[id] = true
 			}
 		}
-		p.Ended(now, "t", false)
+		p.Ended(now, "t", policy.OK)
 	}
 	if spilt < 450 || spilt > 510 || len(to) != 4 {
 		t.Errorf("%d of 5,000 spilt, to %d servers", spilt, len(to))
@@ -146,10 +148,10 @@
 	now += 20 * sec
 	for range 200 {
 		p.Place(now, ask)
-		p.Ended(now, "t", false)
+		p.Ended(now, "t", policy.OK)
 	}
 	for range 20 {
-		p.Ended(now, "t", true)
+		p.Ended(now, "t", policy.Reset)
 	}
 	if p.Spill(now, ask) != nil || !p.Report(now, "t").Harmful {
 		t.Error("a tenant whose attempts break spills")
@@ -157,7 +159,7 @@
 	now += 60 * sec // it is long ago
 	for range 200 {
 		p.Place(now, ask)
-		p.Ended(now, "t", false)
+		p.Ended(now, "t", policy.OK)
 	}
 	if p.Spill(now, ask) == nil {
 		t.Error("a tenant is never forgiven")
--- a/internal/flow/socket.go
+++ b/internal/flow/socket.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 
@@ -82,3 +83,29 @@
 	})
 	return there, errors.Join(err, broke)
 }
+
+// Serve accepts connections until ln is closed, and serves at most so many at a time, each in a goroutine and closed behind it.
+// It returns once all are over. Failed is told of an accept that failed, after which it waits a moment.
+func Serve(ln net.Listener, most int, serve func(net.Conn), failed func(error)) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	free := make(chan struct{}, most)
+	for {
+		free <- struct{}{}
+		conn, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // out of descriptors, or the other side was too quick
+			<-free
+			failed(err)
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		wg.Go(func() {
+			defer func() { <-free }()
+			defer conn.Close()
+			serve(conn)
+		})
+	}
+}
--- a/internal/health/evidence_test.go
+++ b/internal/health/evidence_test.go
@@ -171,7 +171,7 @@
 	for id := range uint32(10) {
 		b.Remove(id)
 	}
-	if b.Len() != 0 || b.wanted != 0 {
+	if len(b.servers) != 0 || b.wanted != 0 {
 		t.Error("something is left", b.wanted)
 	}
 }
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -3,7 +3,11 @@
 // I/O and no clock: probes are in its subpackages, times are handed in, on any clock that does not step back.
 package health
 
-import "time"
+import (
+	"time"
+
+	"portstall/policy"
+)
 
 // Admin is what an agent says that operators want of its server.
 type Admin uint8
@@ -28,10 +32,6 @@
 	Down
 )
 
-var states = [...]string{"", "up", "down"}
-
-func (s State) String() string { return states[s] }
-
 // Word is one answer of an agent or outcome of a check. What it does not say stays as it was.
 type Word struct {
 	Admin   Admin
@@ -80,7 +80,7 @@
 
 // server is what is known of one.
 type server struct {
-	agent, admin   time.Duration // when the agent was last heard, and when it last said an admin word
+	agent          time.Duration // when the agent was last heard
 	word           Word          // of the agent, each part as last said
 	check          time.Duration
 	fails          int // checks failed in a row
@@ -215,7 +215,7 @@
 	return s.real && s.lastOK > 0 && now < s.lastOK+b.rules.Fresh && s.lastOK >= s.lastKO
 }
 
-// fails tells that the latest real requests failed.
+// failing tells whether the latest real request failed, lately.
 func (b *Book) failing(now time.Duration, s *server) bool {
 	return s.real && s.lastKO > 0 && now < s.lastKO+b.rules.Fresh && s.lastKO > s.lastOK
 }
@@ -322,8 +322,24 @@
 // Panic tells whether so many are said to be bad that the sayers are suspected.
 func (b *Book) Panic() bool { return b.panics }
 
-// Len is how many servers there are.
-func (b *Book) Len() int { return len(b.servers) }
+// Tells is whether an attempt's outcome tells of its server: not that nothing was sent, nobody waited, or it had no room.
+func Tells(o policy.Outcome) bool {
+	return o != policy.Full && o != policy.Canceled && o != policy.Moot
+}
 
-// Has tells whether a server is in the book.
-func (b *Book) Has(id uint32) bool { return b.servers[id] != nil }
+// Steps are the events by which the policy comes from one verdict on a server to another. While operators have it out that
+// stays, whatever is said.
+func Steps(server uint32, old, v Verdict, byHand bool) []policy.Event {
+	var steps []policy.Event
+	if v.Out != old.Out && !byHand {
+		kind := policy.EvEnable
+		if v.Out {
+			kind = policy.EvDisable
+		}
+		steps = append(steps, policy.Event{Kind: kind, Server: server})
+	}
+	if !v.Out && (v.Weight != old.Weight || v.MaxConn != old.MaxConn) {
+		steps = append(steps, policy.Event{Kind: policy.EvWeigh, Server: server, Weight: v.Weight, Most: v.MaxConn})
+	}
+	return steps
+}
--- a/internal/health/party/party.go
+++ b/internal/health/party/party.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -21,6 +20,8 @@
 	grpchealth "google.golang.org/grpc/health"
 	healthpb "google.golang.org/grpc/health/grpc_health_v1"
 	"google.golang.org/grpc/keepalive"
+
+	"portstall/internal/flow"
 )
 
 // State is what the node does with new requests.
@@ -168,39 +169,22 @@
 
 func (p *Party) agent(ln net.Listener) {
 	p.closes = append(p.closes, func() { ln.Close() })
-	p.wg.Add(1)
-	go func() {
-		defer p.wg.Done()
-		free := make(chan struct{}, connMost)
-		for {
-			free <- struct{}{} // each is given back within answerIn
-			conn, err := ln.Accept()
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			if err != nil { // out of descriptors, or the other side was too quick
-				p.log.Warn("agent-check: accepting failed", "err", err)
-				time.Sleep(10 * time.Millisecond)
-				<-free
-				continue
-			}
-			p.wg.Add(1)
-			go func() {
-				defer p.wg.Done()
-				defer func() { <-free }()
-				defer conn.Close()
-				conn.SetDeadline(time.Now().Add(answerIn))
-				if _, err := io.WriteString(conn, p.Status().Word()); err != nil {
-					return
-				}
-				// What the checker may send is read, or closing would cut the answer off; and no more than it may mean.
-				if c, ok := conn.(*net.TCPConn); ok {
-					c.CloseWrite()
-				}
-				io.Copy(io.Discard, io.LimitReader(conn, 4096))
-			}()
-		}
-	}()
+	p.wg.Go(func() {
+		flow.Serve(ln, connMost, p.say, func(err error) { p.log.Warn("agent-check: accepting failed", "err", err) })
+	})
+}
+
+// say answers one agent-check.
+func (p *Party) say(conn net.Conn) {
+	conn.SetDeadline(time.Now().Add(answerIn))
+	if _, err := io.WriteString(conn, p.Status().Word()); err != nil {
+		return
+	}
+	// What the checker may send is read, or closing would cut the answer off; and no more than it may mean.
+	if c, ok := conn.(*net.TCPConn); ok {
+		c.CloseWrite()
+	}
+	io.Copy(io.Discard, io.LimitReader(conn, 4096))
 }
 
 // page is what an HTTP check is answered, after the IETF draft "Health Check Response Format for HTTP APIs".
--- a/internal/lab/model/health.go
+++ b/internal/lab/model/health.go
@@ -19,7 +19,6 @@
 	book    *health.Book
 	due     [2]*health.Schedule // of agents, and of checks; nil: not asked
 	applied map[uint32]health.Verdict
-	said    int // words heard in all
 }
 
 const (
@@ -103,17 +102,14 @@
 				c.book.Agent(w.now, id, word)
 			}
 		}
-		c.said++
 		if _, changed := c.book.Weigh(w.now, id); changed {
 			c.apply(w, id)
 		}
 		c.due[kind].Done(w.now, id, c.book.Spoken(w.now, id))
 	case evWeigh:
 		for i := range w.servers { // in a stated order
-			if id := w.servers[i].ID; c.book.Has(id) {
-				if _, changed := c.book.Weigh(w.now, id); changed {
-					c.apply(w, id)
-				}
+			if _, changed := c.book.Weigh(w.now, w.servers[i].ID); changed {
+				c.apply(w, w.servers[i].ID)
 			}
 		}
 		w.at(w.now+weighEach, event{kind: evWeigh, a: int32(n.index), gen: n.life})
@@ -129,9 +125,9 @@
 }
 
 // real takes in what became of a request.
-func (c *checker) real(now time.Duration, id uint32, ok bool) {
-	if c != nil {
-		c.book.Real(now, id, ok)
+func (c *checker) real(now time.Duration, id uint32, o policy.Outcome) {
+	if c != nil && health.Tells(o) {
+		c.book.Real(now, id, o == policy.OK)
 	}
 }
 
@@ -140,18 +136,12 @@
 	n, v, old := c.node, c.book.Verdict(id), c.applied[id]
 	c.applied[id] = v
 	index := w.byID[id].index
-	if v.Out != old.Out {
-		kind := policy.EvEnable
-		if v.Out {
-			kind = policy.EvDisable
-		}
-		w.handle(n, &policy.Event{Kind: kind, Server: id})
-		if w.opt.Out != nil {
-			w.opt.Out(w.now, n.index, index, v.Out)
-		}
+	steps := health.Steps(id, old, v, false)
+	for i := range steps {
+		w.handle(n, &steps[i])
 	}
-	if !v.Out && (v.Weight != old.Weight || v.MaxConn != old.MaxConn) {
-		w.handle(n, &policy.Event{Kind: policy.EvWeigh, Server: id, Weight: v.Weight, Most: v.MaxConn})
+	if v.Out != old.Out && w.opt.Out != nil {
+		w.opt.Out(w.now, n.index, index, v.Out)
 	}
 	if v.Drain != old.Drain {
 		w.book.Told(w.now, n.index, id, n.toldOut(index), since(n.known[index].Launched))
--- a/internal/lab/model/model.go
+++ b/internal/lab/model/model.go
@@ -143,7 +143,6 @@
 type world struct {
 	s         *scenario.Scenario
 	set       policy.Settings
-	make      Maker
 	opt       Options
 	checks    *config.Checks // nil: nothing is checked
 	rng       *rand.Rand
@@ -238,7 +237,7 @@
 }
 
 func newWorld(s *scenario.Scenario, opt Options) *world {
-	w := &world{s: s, opt: opt, set: s.Settings(), make: opt.Make, rng: rand.New(rand.NewPCG(s.Seed, 0x6d6f64656c)),
+	w := &world{s: s, opt: opt, set: s.Settings(), rng: rand.New(rand.NewPCG(s.Seed, 0x6d6f64656c)),
 		byID: map[uint32]*server{}, asks: s.Asks(), active: make([]bool, len(s.Faults)), weather: fleet.Weather{Slowdown: 1, Storm: 1},
 		rec: measure.New(s.Warmup, s.Duration), digest: xxhash.New()}
 	w.contracts, w.err = s.Contracts()
--- a/internal/lab/model/node.go
+++ b/internal/lab/model/node.go
@@ -36,7 +36,7 @@
 // start brings a node up, with its list as it last held it.
 func (w *world) start(n *node) {
 	n.life++
-	d, err := w.make(w.set, w.s.Seed*1000003+uint64(n.index)*1009+uint64(n.life))
+	d, err := w.opt.Make(w.set, w.s.Seed*1000003+uint64(n.index)*1009+uint64(n.life))
 	if err != nil {
 		w.err = err
 		return
@@ -379,11 +379,9 @@
 	t.open--
 	t.took, t.last = t.took+w.now-j.sent, w.now
 	if n.cells != nil {
-		n.cells.Ended(epoch+w.now, w.tenant(t), out == policy.Reset || out == policy.TimedOut)
-	}
-	if out != policy.Full && out != policy.Canceled && out != policy.Moot {
-		n.checker.real(w.now, j.server.ID, out == policy.OK)
+		n.cells.Ended(epoch+w.now, w.tenant(t), out)
 	}
+	n.checker.real(w.now, j.server.ID, out)
 	served := out == policy.OK && !t.answered
 	never := out == policy.Full || out == policy.ConnectFailed || out == policy.Moot
 	w.book.Ended(w.now, n.index, t.id, j.index, outcomes[out], never, served)
--- a/internal/member/edge.go
+++ b/internal/member/edge.go
@@ -13,6 +13,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"portstall/internal/flow"
 )
 
 const (
@@ -153,37 +155,23 @@
 
 func (e *Edge) streams() {
 	defer e.wg.Done()
-	free := make(chan struct{}, streamMost)
-	for {
-		free <- struct{}{} // each is given back within streamTime
-		conn, err := e.tcp.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			<-free
-			time.Sleep(10 * time.Millisecond)
-			continue
-		}
-		e.wg.Add(1)
-		go func() {
-			defer e.wg.Done()
-			defer func() { <-free }()
-			defer conn.Close()
-			conn.SetDeadline(time.Now().Add(streamTime))
-			var size [4]byte
-			if _, err := io.ReadFull(conn, size[:]); err != nil {
-				return
-			}
-			n := binary.BigEndian.Uint32(size[:])
-			if n > SyncMost {
-				return
-			}
-			data, err := io.ReadAll(io.LimitReader(conn, int64(n))) // no more is held than has come
-			if err == nil && len(data) == int(n) {
-				e.take(conn.RemoteAddr().String(), data)
-			}
-		}()
+	flow.Serve(e.tcp, streamMost, e.stream, func(err error) { e.log.Warn("members: accepting failed", "err", err) })
+}
+
+// stream takes one packet.
+func (e *Edge) stream(conn net.Conn) {
+	conn.SetDeadline(time.Now().Add(streamTime))
+	var size [4]byte
+	if _, err := io.ReadFull(conn, size[:]); err != nil {
+		return
+	}
+	n := binary.BigEndian.Uint32(size[:])
+	if n > SyncMost {
+		return
+	}
+	data, err := io.ReadAll(io.LimitReader(conn, int64(n))) // no more is held than has come
+	if err == nil && len(data) == int(n) {
+		e.take(conn.RemoteAddr().String(), data)
 	}
 }
 
--- a/internal/member/evidence.go
+++ b/internal/member/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -81,14 +82,6 @@
 	if len(seen) < 2 { // one alone is nobody
 		return 0, len(seen)
 	}
-	return lowerMedian(seen), len(seen)
-}
-
-func lowerMedian(v []float64) float64 {
-	for i := range v { // a handful
-		for k := i; k > 0 && v[k] < v[k-1]; k-- {
-			v[k], v[k-1] = v[k-1], v[k]
-		}
-	}
-	return v[(len(v)-1)/2]
+	slices.Sort(seen)
+	return seen[(len(seen)-1)/2], len(seen) // of an even number the lower one
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -64,16 +64,11 @@
 	Inc       uint64
 	Since     time.Duration // when its state last changed
 	Accusers  []string
-	fact      signed // its latest alive or left
-	accused   map[string]accusation
-	heardInc  uint64 // of its packets,
-	heardSeq  uint64 // the latest of them,
-	heardBits uint64 // and which of the 64 before it were taken
-}
-
-type accusation struct {
-	fact signed
-	at   time.Duration
+	fact      signed            // its latest alive or left
+	accused   map[string]signed // accusations of this incarnation, by their accusers
+	heardInc  uint64            // of its packets,
+	heardSeq  uint64            // the latest of them,
+	heardBits uint64            // and which of the 64 before it were taken
 }
 
 // probe is one that is under way.
@@ -81,7 +76,6 @@
 	target  string
 	nonce   uint64
 	at      time.Duration
-	until   time.Duration
 	asked   []string // for an indirect one
 	nacks   int
 	relayed bool
@@ -133,7 +127,6 @@
 	evidence   map[evidenceKey]Evidence
 	// Refused counts what was not taken, by why.
 	Refused map[error]int
-	Sent    int64 // bytes
 }
 
 // New makes a member that joins through the seeds. Inc is its first incarnation: the Unix time in milliseconds does, also
@@ -163,7 +156,7 @@
 			continue
 		}
 		for by, a := range p.accused {
-			if _, err := check(a.fact, keys); err != nil {
+			if _, err := check(a, keys); err != nil {
 				delete(p.accused, by)
 			}
 		}
@@ -249,7 +242,6 @@
 		return false
 	}
 	m.tokens -= float64(len(data))
-	m.Sent += int64(len(data))
 	m.out = append(m.out, Out{addr, data, p.Sure || len(data) > PacketMost})
 	return true
 }
@@ -323,15 +315,8 @@
 	}
 	for range len(m.order) + 1 {
 		if m.next >= len(m.order) {
-			m.order = m.order[:0]
-			for name, p := range m.peers {
-				if p.State <= Suspect {
-					m.order = append(m.order, name)
-				}
-			}
-			slices.Sort(m.order) // the same on every run
-			m.rng.Shuffle(len(m.order), func(i, j int) { m.order[i], m.order[j] = m.order[j], m.order[i] })
-			m.next = 0
+			m.order, m.next = m.known(func(p *Peer) bool { return p.State <= Suspect }), 0
+			m.shuffle(m.order)
 			if len(m.order) == 0 {
 				return
 			}
@@ -350,7 +335,7 @@
 
 func (m *Member) ask(now time.Duration, p *Peer) {
 	nonce := m.rng.Uint64()
-	m.probe = &probe{target: p.Name, nonce: nonce, at: now, until: now + m.set.Interval*time.Duration(1+m.aware)}
+	m.probe = &probe{target: p.Name, nonce: nonce, at: now}
 	if !m.send(now, p.Name, p.Addr, packet{Kind: ping, Nonce: nonce}) {
 		m.probe = nil // nothing was asked: nobody has failed
 	}
@@ -361,17 +346,11 @@
 	if t := m.peers[pr.target]; t != nil {
 		m.send(now, t.Name, t.Addr, packet{Kind: ping, Nonce: pr.nonce, Sure: true})
 	}
-	others := make([]*Peer, 0, len(m.peers))
-	for _, p := range m.peers {
-		if p.State == Alive && p.Name != pr.target {
-			others = append(others, p)
-		}
-	}
-	slices.SortFunc(others, func(a, b *Peer) int { return cmp.Compare(a.Name, b.Name) })
-	m.rng.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	for _, p := range others[:min(m.set.Indirect, len(others))] {
-		if m.send(now, p.Name, p.Addr, packet{Kind: pingReq, Nonce: pr.nonce, Target: pr.target}) {
-			pr.asked = append(pr.asked, p.Name)
+	others := m.known(func(p *Peer) bool { return p.State == Alive && p.Name != pr.target })
+	m.shuffle(others)
+	for _, name := range others[:min(m.set.Indirect, len(others))] {
+		if m.send(now, name, m.peers[name].Addr, packet{Kind: pingReq, Nonce: pr.nonce, Target: pr.target}) {
+			pr.asked = append(pr.asked, name)
 		}
 	}
 }
@@ -404,9 +383,9 @@
 		return
 	}
 	if p.accused == nil {
-		p.accused = map[string]accusation{}
+		p.accused = map[string]signed{}
 	}
-	p.accused[by] = accusation{f, now}
+	p.accused[by] = f
 	if p.State == Alive {
 		p.State, p.Since = Suspect, now
 	}
@@ -437,29 +416,28 @@
 		switch n := len(p.accused); {
 		case n >= m.quorum() && now >= p.Since+m.lasts(n):
 			p.State, p.Since = Dead, now
-			p.Accusers = p.Accusers[:0]
-			for by := range p.accused {
-				p.Accusers = append(p.Accusers, by)
-			}
-			slices.Sort(p.Accusers)
+			p.Accusers = sortedKeys(p.accused)
 		case now >= p.Since+2*m.lasts(1):
 			p.State, p.Since, p.accused = Alive, now, nil
 		}
 	}
 }
 
+// known are the names of the peers that are wanted, in their order: what is drawn from them is the same on every run.
+func (m *Member) known(want func(*Peer) bool) []string {
+	return slices.DeleteFunc(m.sorted(), func(name string) bool { return !want(m.peers[name]) })
+}
+
+func (m *Member) shuffle(names []string) {
+	m.rng.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+}
+
 // random is one of the peers that are wanted; nil: there is none.
 func (m *Member) random(want func(*Peer) bool) *Peer {
-	var of []string
-	for name, p := range m.peers {
-		if want(p) {
-			of = append(of, name)
-		}
-	}
+	of := m.known(want)
 	if len(of) == 0 {
 		return nil
 	}
-	slices.Sort(of)
 	return m.peers[of[m.rng.IntN(len(of))]]
 }
 
@@ -478,14 +456,20 @@
 		}
 		all = append(all, p.fact)
 		if p.State == Suspect || p.State == Dead { // so that whoever missed some comes to the same
-			for _, by := range sortedKeys(p.accused) {
-				all = append(all, p.accused[by].fact)
-			}
+			all = append(all, p.accusations()...)
 		}
 	}
 	return all
 }
 
+// accusations are those of a peer, in the order of their accusers.
+func (p *Peer) accusations() (all []signed) {
+	for _, by := range sortedKeys(p.accused) {
+		all = append(all, p.accused[by])
+	}
+	return all
+}
+
 func (m *Member) sorted() []string { return sortedKeys(m.peers) }
 
 func sortedKeys[V any](all map[string]V) []string {
@@ -604,18 +588,14 @@
 		return
 	}
 	if _, known := about.accused[f.By]; !known && len(about.accused) > 0 && m.signedBy(s) {
-		about.accused[f.By] = accusation{s, now}
+		about.accused[f.By] = s
 		m.tellOf(now, by.Name, by.Addr, about)
 	}
 }
 
 // tellOf sends one member what is said of another.
 func (m *Member) tellOf(now time.Duration, to, addr string, p *Peer) {
-	facts := []signed{p.fact}
-	for _, by := range sortedKeys(p.accused) {
-		facts = append(facts, p.accused[by].fact)
-	}
-	m.send(now, to, addr, packet{Kind: exchanged, Facts: facts})
+	m.send(now, to, addr, packet{Kind: exchanged, Facts: append([]signed{p.fact}, p.accusations()...)})
 }
 
 // acked takes in that a member has answered: of this one's probe, or of one for somebody else.
@@ -633,7 +613,7 @@
 	}
 	m.probe = nil
 	m.aware = max(0, m.aware-1)
-	if t := m.peers[pr.target]; t != nil && t.accused[m.name].at > 0 {
+	if t := m.peers[pr.target]; t != nil {
 		delete(t.accused, m.name) // its own eyes have seen it since
 	}
 }
--- a/internal/member/message.go
+++ b/internal/member/message.go
@@ -123,10 +123,13 @@
 	return f, nil
 }
 
+// as is what is signed of a body: no signature of the one sort is good for the other.
+func as(sort string, body []byte) []byte { return append([]byte("portstall "+sort+"\x00"), body...) }
+
 // seal signs a packet: a byte string of the packet and one of its signature.
 func seal(p *packet, sign func([]byte) []byte) []byte {
 	body := encode(p)
-	return encode(signed{Fact: body, Sig: sign(append([]byte("portstall packet\x00"), body...))})
+	return encode(signed{Fact: body, Sig: sign(as("packet", body))})
 }
 
 // unseal reads a packet whose signature holds.
@@ -152,7 +155,7 @@
 	case p.From == "" || len(p.From) > nameMost || len(p.Target) > nameMost || p.Kind < ping || p.Kind > exchanged:
 		return nil, ErrForm
 	}
-	if err := keys.Verify(p.From, append([]byte("portstall packet\x00"), s.Fact...), s.Sig); err != nil {
+	if err := keys.Verify(p.From, as("packet", s.Fact), s.Sig); err != nil {
 		return nil, err
 	}
 	return &p, nil
@@ -161,7 +164,7 @@
 // state makes a signed fact.
 func state(f *Fact, sign func([]byte) []byte) signed {
 	body := encode(f)
-	return signed{Fact: body, Sig: sign(append([]byte("portstall fact\x00"), body...))}
+	return signed{Fact: body, Sig: sign(as("fact", body))}
 }
 
 // check reads a fact whose signature holds.
@@ -170,7 +173,7 @@
 	if err != nil {
 		return f, err
 	}
-	return f, keys.Verify(f.By, append([]byte("portstall fact\x00"), s.Fact...), s.Sig)
+	return f, keys.Verify(f.By, as("fact", s.Fact), s.Sig)
 }
 
 // Keys know who may be a member. They are safe for concurrent use, or belong to one goroutine with the member.
--- a/internal/node/cells.go
+++ b/internal/node/cells.go
@@ -1,7 +1,7 @@
 package node
 
 import (
-	"fmt"
+	"errors"
 	"strconv"
 	"time"
 
@@ -48,7 +48,7 @@
 }
 
 func (c *cells) Ended(now time.Duration, r *core.Request, o policy.Outcome) {
-	c.Placer.Ended(now, r.Tenant, o == policy.Reset || o == policy.TimedOut)
+	c.Placer.Ended(now, r.Tenant, o)
 }
 
 func (c *cells) Spill(now time.Duration, r *core.Request) []uint32 {
@@ -90,9 +90,9 @@
 // recell puts the cells' terms of a file that was read again in force. Whether there are cells is settled at the start.
 // The core's lock is held.
 func (n *node) recell(cfg Config) error {
-	var has bool
-	if has = cfg.Product != nil && cfg.Product.Cells != nil; has != (n.cells != nil) {
-		return fmt.Errorf("cells: can't be put in or taken out by a reload")
+	has := cfg.Product != nil && cfg.Product.Cells != nil
+	if has != (n.cells != nil) {
+		return errors.New("cells: can't be put in or taken out by a reload")
 	}
 	if !has {
 		return nil
--- a/internal/node/cells_test.go
+++ b/internal/node/cells_test.go
@@ -10,19 +10,22 @@
 	"portstall/internal/cell"
 )
 
-// A tenant's requests go to its own cell and nowhere else, alike at every node; when a server of it goes the rest stay, and
-// when all do its requests are refused at once while others are served.
-func TestCells(t *testing.T) {
-	t.Parallel()
-	var boxes []*box
-	var list []listed
+// eight are web servers, each in a zone and a pod.
+func eight(t *testing.T, place func(i int) (zone string, pod int64)) (boxes []*box, list []listed) {
 	for i := range 8 {
 		b := newBox(t, served)
-		boxes = append(boxes, b)
 		e := b.entry(fmt.Sprint("s-", i))
-		e.Zone, e.Cell = []string{"north", "south"}[i%2], int64(i)
-		list = append(list, e)
+		e.Zone, e.Cell = place(i)
+		boxes, list = append(boxes, b), append(list, e)
 	}
+	return
+}
+
+// A tenant's requests go to its own cell and nowhere else, alike at every node; when a server of it goes the rest stay, and
+// when all do its requests are refused at once while others are served.
+func TestCells(t *testing.T) {
+	t.Parallel()
+	boxes, list := eight(t, func(i int) (string, int64) { return []string{"north", "south"}[i%2], int64(i) })
 	product := under(t, "cells: {size: 2}\n")
 	r := newRig(t, newRegistry(t), settingsJSON, product, list...)
 	other := newRig(t, newRegistry(t), settingsJSON, product, list...)
@@ -111,15 +114,7 @@
 // move back while requests are served.
 func TestMove(t *testing.T) {
 	t.Parallel()
-	var boxes []*box
-	var list []listed
-	for i := range 8 {
-		b := newBox(t, served)
-		boxes = append(boxes, b)
-		e := b.entry(fmt.Sprint("s-", i))
-		e.Zone, e.Cell = "north", int64(i/2)
-		list = append(list, e)
-	}
+	boxes, list := eight(t, func(i int) (string, int64) { return "north", int64(i / 2) })
 	terms := func(back string) func(*Config) { // prepared 26 s ago, cut over 6 s ago
 		return under(t, fmt.Sprintf("cells:\n  size: 4\n  marked: true\n  tenants:\n  - {tenant: gulf, pods: [0, 1], moves: [{to: [2, 3], start: %s, both: 10s%s}]}\n",
 			time.Now().Add(-26*time.Second).Format(time.RFC3339Nano), back))
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -149,11 +149,6 @@
 		if _, err := cfg.contracts(); err != nil {
 			return Config{}, fmt.Errorf("PORTSTALL_FILE: %s: %w", path, err)
 		}
-		if c := cfg.Product.Cells; c != nil {
-			if _, err := c.Terms(); err != nil {
-				return Config{}, fmt.Errorf("PORTSTALL_FILE: %s: %w", path, err)
-			}
-		}
 		if err := cfg.opaque(); err != nil {
 			return Config{}, fmt.Errorf("PORTSTALL_FILE: %s: %w", path, err)
 		}
--- a/internal/node/hand.go
+++ b/internal/node/hand.go
@@ -50,41 +50,43 @@
 	n.hand.order.Lock()
 	defer n.hand.order.Unlock()
 	out := o.Call == upgrade.Disable
-	if b := n.disable(o.ID, out, time.Duration(o.At)); b != nil {
-		b.Gate.Set(out || n.checkedOut(b)) // not under the core's lock: it waits for what is being written
+	if b, stays := n.disable(o.ID, out, time.Duration(o.At)); b != nil {
+		b.Gate.Set(stays) // not under the core's lock: it waits for what is being written
 		if out {
 			n.opaque.Drain(b.Server)
 		}
 	}
 }
 
-// disable books what operators said of an id and tells the policy. It returns the backend listed under it, if any.
-func (n *node) disable(id string, out bool, at time.Duration) *backend {
+// disable books what operators said of an id and tells the policy. It returns the backend listed under it, if any, and
+// whether that is out now.
+func (n *node) disable(id string, out bool, at time.Duration) (b *backend, stays bool) {
 	n.core.Lock()
 	defer n.core.Unlock()
-	b := n.names[id]
-	if n.hand.disabled[id] == out {
-		return b
-	}
+	before := n.hand.disabled[id]
 	ev := policy.Event{Kind: policy.EvEnable}
-	if out {
+	switch {
+	case out:
 		ev.Kind = policy.EvDisable
 		n.hand.disabled[id] = true
-	} else {
+	case before:
 		delete(n.hand.disabled, id)
 		n.hand.returned[id] = at
 	}
-	if b != nil && (out || !n.checker.out(b.number)) { // what else has it out still does
+	if b = n.names[id]; b == nil {
+		return nil, out
+	}
+	stays = n.keptOut(id, b.number)
+	if before != out && stays == out { // else nothing changes, or what else has it out still does
 		ev.Server = b.number
 		n.core.Handle(&ev)
 	}
-	return b
+	return b, stays
 }
 
-func (n *node) checkedOut(b *backend) bool {
-	n.core.Lock()
-	defer n.core.Unlock()
-	return n.checker.out(b.number)
+// keptOut tells whether a web server is out, by hand or by what is said of it. The core's lock is held.
+func (n *node) keptOut(id string, number uint32) bool {
+	return n.hand.disabled[id] || n.checker.out(number)
 }
 
 // listed is called with each list that the policy was handed: a web server out by hand is out also under another
--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -51,6 +51,14 @@
 	wake   chan struct{} // something has become due earlier than was thought
 }
 
+// nudge lets the protocol's loop look again.
+func (k *protocol) nudge() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
 // checked is what the checker knows of a server besides the book.
 type checked struct {
 	*back.Server
@@ -132,10 +140,7 @@
 	c.ids[b.ID] = b.number
 	for _, k := range c.kinds {
 		k.due.Add(c.node.core.Now(), b.number)
-		select {
-		case k.wake <- struct{}{}:
-		default:
-		}
+		k.nudge()
 	}
 }
 
@@ -146,7 +151,7 @@
 	n.hand.order.Lock()
 	defer n.hand.order.Unlock()
 	n.core.Lock()
-	stays := n.hand.disabled[s.ID] || c.out(s.number)
+	stays := n.keptOut(s.ID, s.number)
 	if !stays {
 		n.core.Handle(&policy.Event{Kind: policy.EvEnable, Server: s.number})
 	}
@@ -248,7 +253,7 @@
 
 // real takes in how an attempt at a server ended.
 func (c *checker) real(s *back.Server, o policy.Outcome) {
-	if c == nil || o == policy.Full || o == policy.Canceled || o == policy.Moot {
+	if c == nil || !health.Tells(o) {
 		return
 	}
 	c.mu.Lock()
@@ -279,20 +284,14 @@
 	v, old := c.book.Verdict(id), s.applied
 	s.applied = v
 	c.mu.Unlock()
-	byHand := n.hand.disabled[s.ID]
-	if v.Out != old.Out && !byHand {
-		kind := policy.EvEnable
-		if v.Out {
-			kind = policy.EvDisable
-		}
-		n.core.Handle(&policy.Event{Kind: kind, Server: id})
-	}
-	if !v.Out && (v.Weight != old.Weight || v.MaxConn != old.MaxConn) {
-		n.core.Handle(&policy.Event{Kind: policy.EvWeigh, Server: id, Weight: v.Weight, Most: v.MaxConn})
+	steps := health.Steps(id, old, v, n.hand.disabled[s.ID])
+	for i := range steps {
+		n.core.Handle(&steps[i])
 	}
+	stays := n.keptOut(s.ID, id)
 	n.core.Unlock()
 	if v.Out != old.Out {
-		s.Gate.Set(v.Out || byHand) // not under the core's lock: it waits for what is being written
+		s.Gate.Set(stays) // not under the core's lock: it waits for what is being written
 	}
 	if v.Drain && !old.Drain {
 		n.opaque.Drain(s.Server)
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -76,10 +76,7 @@
 			c.book.Others(now, number)
 			for _, k := range c.kinds {
 				k.due.Sooner(now, number)
-				select {
-				case k.wake <- struct{}{}:
-				default:
-				}
+				k.nudge()
 			}
 			if _, ch := c.book.Weigh(now, number); ch {
 				changed = append(changed, number)
--- a/internal/node/opaque_test.go
+++ b/internal/node/opaque_test.go
@@ -117,6 +117,18 @@
 	}
 }
 
+// connects asks for a tunnel by CONNECT, and is told something else than the way there.
+func connects(t *testing.T, addr string) *http.Response {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	must(t, err)
+	defer conn.Close()
+	io.WriteString(conn, linesConnect)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodConnect})
+	must(t, err)
+	return resp
+}
+
 // ended waits until the tunnels have ended for a cause so often.
 func (r *rig) ended(t testing.TB, cause backtunnel.Cause, times uint64) {
 	t.Helper()
@@ -296,12 +308,7 @@
 	if took := time.Since(begun); took < 400*time.Millisecond {
 		t.Errorf("6 MB passed in %v", took)
 	}
-	conn, err := net.Dial("tcp", connect)
-	must(t, err)
-	defer conn.Close()
-	io.WriteString(conn, linesConnect)
-	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodConnect})
-	must(t, err)
+	resp := connects(t, connect)
 	if resp.StatusCode != 429 || !strings.HasPrefix(resp.Header.Get("Portstall-Refusal"), "rule=in-flight") || resp.Header.Get("Retry-After") == "" {
 		t.Errorf("a second one: %d %v", resp.StatusCode, resp.Header)
 	}
@@ -416,12 +423,7 @@
 	c, _ := through(t, connect, linesConnect, 0)
 	c.echo("hello")
 	must(t, r.Drain(context.Background()))
-	conn, err := net.Dial("tcp", connect)
-	must(t, err)
-	defer conn.Close()
-	io.WriteString(conn, linesConnect)
-	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodConnect})
-	must(t, err)
+	resp := connects(t, connect)
 	if resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
 		t.Errorf("CONNECT during a drain: %d, come back in %q", resp.StatusCode, resp.Header.Get("Retry-After"))
 	}
