An opaque tunnel books bytes by when they came, so that no stall is missed

The node booked a byte's time when its copy had returned. A client that had answered the server's bytes before that was booked first, the server's bytes behind it, and the server's silence to the answer looked like the client's: the tunnel stood until its idle limit, a minute, and not its stall.

Bytes are booked by when they could be read, before they are passed on. Then an answer always comes behind what it answers.

--- a/internal/back/tunnel/opaque.go
+++ b/internal/back/tunnel/opaque.go
@@ -67,8 +67,8 @@
 	client net.Conn    // nil until it relays
 	timer  *time.Timer // when the next limit may be reached
 	drains time.Time   // when it is to have ended for a drain; zero: there is none
-	up     time.Time   // when the client's latest byte was passed on,
-	down   time.Time   // and the server's
+	up     time.Time   // when the latest of the client's bytes that were passed on had come,
+	down   time.Time   // and of the server's
 	passed uint64      // bytes
 	halves int         // directions that have ended
 	cause  Cause       // empty while it stands
@@ -276,7 +276,8 @@
 		return Server
 	}
 	if len(ahead) > 0 {
-		if n, err := dst.Write(ahead); t.moved(n, up) != nil || err != nil {
+		came := time.Now()
+		if n, err := dst.Write(ahead); t.moved(n, up, came) != nil || err != nil {
 			t.end(broken(false))
 			return
 		}
@@ -288,8 +289,10 @@
 			t.end(broken(true))
 			return
 		}
+		// By when it came, not by when the copy returns: the other side may have answered before that.
+		came := time.Now()
 		n, err := io.CopyN(dst, src, int64(min(max(there, 1), chunk))) // by splice, where both are TCP
-		if t.moved(int(n), up) != nil {
+		if t.moved(int(n), up, came) != nil {
 			return
 		}
 		switch {
@@ -322,15 +325,14 @@
 
 var errOver = errors.New("the tunnel has ended")
 
-// moved books bytes that were passed on, and waits as long as the contract's bandwidth asks for.
-func (t *Tunnel) moved(n int, up bool) error {
+// moved books bytes that were passed on and had come at a time, and waits as long as the contract's bandwidth asks for.
+func (t *Tunnel) moved(n int, up bool, came time.Time) error {
 	if n > 0 {
 		t.mu.Lock()
-		now := time.Now()
 		if up {
-			t.up = now
+			t.up = came
 		} else {
-			t.down = now
+			t.down = came
 		}
 		t.passed += uint64(n)
 		t.mu.Unlock()
--- a/internal/node/opaque_test.go
+++ b/internal/node/opaque_test.go
@@ -322,6 +322,59 @@
 	}
 }
 
+// lateCopy is a client's connection of which a copy returns only when it may, as on a machine that runs something else first.
+type lateCopy struct {
+	*net.TCPConn
+	may chan struct{}
+}
+
+func (c lateCopy) ReadFrom(r io.Reader) (int64, error) {
+	n, err := c.TCPConn.ReadFrom(r)
+	<-c.may
+	return n, err
+}
+
+// A client answers the server's bytes before the node comes to book that it has passed them on: the server's silence to that
+// answer is seen all the same.
+func TestStallBehindALateCopy(t *testing.T) {
+	t.Parallel()
+	again := make(chan struct{})
+	l := newLines(t, func(c net.Conn) {
+		io.CopyN(c, c, 5)
+		io.CopyN(io.Discard, c, 5)
+		close(again)
+		io.Copy(io.Discard, c)
+	})
+	r, _, _ := opaqueNode(t, "", "", l.entry("s-1"))
+	stream := &message.Stream{Limits: message.Limits{Idle: time.Minute, Total: time.Minute, Stall: 100 * time.Millisecond}}
+	req := &core.Request{ID: "late", Class: "quote", Message: stream, Body: stream, Arrived: r.core.Now(), Patience: patience}
+	if !r.core.Begin(req) {
+		t.Fatal("not taken")
+	}
+	answer := <-req.Answer()
+	if answer.Kind != core.Served {
+		t.Fatalf("%+v", answer)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must(t, err)
+	defer ln.Close()
+	conn, err := net.Dial("tcp", ln.Addr().String())
+	must(t, err)
+	defer conn.Close()
+	there, err := ln.Accept()
+	must(t, err)
+	late := lateCopy{there.(*net.TCPConn), make(chan struct{})}
+	go answer.Payload.(message.Tunnel).Relay(late, bufio.NewReader(there))
+	c := &client{t, conn, bufio.NewReader(conn)}
+	c.SetDeadline(time.Now().Add(patience))
+	c.echo("hello")
+	c.send("again")
+	<-again
+	time.Sleep(20 * time.Millisecond) // for the node to book that, too
+	close(late.may)
+	r.ended(t, backtunnel.Stall, 1)
+}
+
 // Between the pick and the connection its server is told to drain, or is taken out: the tunnel does not come to stand there,
 // and that proves that nothing ran.
 func TestOpaqueBetweenPickAndConnection(t *testing.T) {
