A repeat's window runs from its first send, however late an answer ends

Seen: a keyed class with a window of 1 s and a deadline of 4 s was sent again 1.1 s after its first attempt had gone out. The window was counted back from the outcome by the time to the answer's first byte, so a 500 whose body came slowly moved it. And a repeat allowed within the window could be written after it, when its connection came up late.

Ruled out: the back, which reports when the first byte came as it should; the cells' own memory of keys, which keeps the first send. At fault: ended in policy/policy.go (mayRunAt from Took) and send, which bounded no repeat.

Now the policy remembers when it sent, and a repeat's attempt is up with the window. In TestRepeatWindowRunsFromTheSend the attempts may take 0.9 and 0.1 s and the third is not sent; before, 3.9 and 3.1 s, and it was sent.

--- /dev/null
+++ b/policy/harden_test.go
@@ -0,0 +1,64 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// hardenSettings has a keyed class whose window is shorter than its deadline.
+func hardenSettings() Settings {
+	return Settings{Nodes: 1, MaxAttempts: 4, Cancel: true, RetryAfter: 2 * time.Second, DrainGrace: time.Second, ColdShare: 0.3,
+		ColdFor: 8 * time.Second, FallFactor: 2.5, FallFor: 1500 * time.Millisecond, Classes: []Class{
+			{Name: "view", Aim: 3 * time.Second, Deadline: 4 * time.Second, Worth: 1},
+			{Name: "save", Aim: 3 * time.Second, Deadline: 4 * time.Second, Worth: 1, Effect: Keyed, Window: time.Second}}}
+}
+
+func hardened(t *testing.T, set Settings, servers uint32) *Balancer {
+	t.Helper()
+	b, err := New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var list []Entry
+	for id := range servers {
+		list = append(list, Entry{ID: id + 1, Kind: "k"})
+	}
+	b.Handle(0, &Event{Kind: EvList, List: ListFull, Entries: list}, nil)
+	return b
+}
+
+// sendOf is the send among some actions; nil: there is none.
+func sendOf(acts []Action) *Action {
+	for i := range acts {
+		if acts[i].Kind == ActSend {
+			return &acts[i]
+		}
+	}
+	return nil
+}
+
+// A keyed request's window runs from the send of the first attempt that may have run, however late the end of its answer is
+// told and whatever part of that time counts as the server's; and a further attempt's time is up with the window.
+func TestRepeatWindowRunsFromTheSend(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		ends, first time.Duration // when the outcome is told, and when the answer's first byte came
+		again       bool
+		wait        time.Duration
+	}{
+		{"at once", 100 * time.Millisecond, 100 * time.Millisecond, true, 900 * time.Millisecond},
+		{"a slow end within the window", 900 * time.Millisecond, 100 * time.Millisecond, true, 100 * time.Millisecond},
+		{"a slow end past the window", 1100 * time.Millisecond, 300 * time.Millisecond, false, 0},
+	} {
+		b := hardened(t, hardenSettings(), 3)
+		if sendOf(b.Handle(0, &Event{Kind: EvRequest, ID: "r", Class: "save", Left: 4 * time.Second}, nil)) == nil {
+			t.Fatalf("%s: not sent", c.name)
+		}
+		s := sendOf(b.Handle(c.ends, &Event{Kind: EvOutcome, ID: "r", Took: c.first, Outcome: Failed, Load: Load{Queue: -1, Held: -1}}, nil))
+		if (s != nil) != c.again {
+			t.Errorf("%s: sent again %v, want %v", c.name, s != nil, c.again)
+		} else if s != nil && (s.Wait-c.wait).Abs() > time.Microsecond {
+			t.Errorf("%s: the attempt may take %v, want %v", c.name, s.Wait, c.wait)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -229,13 +229,16 @@
 }
 
 func (b *Balancer) send(now float64, r *request, s *server) {
-	r.attempts = append(r.attempts, attempt{s, true, b.waiting(s, now) + 1})
+	r.attempts = append(r.attempts, attempt{s, true, b.waiting(s, now) + 1, now})
 	r.open++
 	s.own++
 	until := r.until // ended at the aim, it would draw a client's retry that is worth nothing
 	if s.mode != normal {
 		until = r.aim // here it mostly waits, and keeps others from being in time
 	}
+	if r.mayRun != nil && r.class.Effect == Keyed {
+		until = min(until, r.windowEnd()) // a connection that comes up later would carry it past its window
+	}
 	b.do(Action{Kind: ActSend, ID: r.id, Server: s.ID, Wait: span(max(until-now, 1e-6))})
 }
 
@@ -280,7 +283,7 @@
 		return
 	}
 	if r.mayRun == nil && ev.Outcome != Full && ev.Outcome != ConnectFailed && ev.Outcome != Moot {
-		r.mayRun, r.mayRunAt = s, now-ev.Took.Seconds()
+		r.mayRun, r.mayRunAt = s, r.attempts[ev.Attempt].at
 	}
 	r.avoid = s
 	if !ev.Spent && b.mayRetry(now, r) && b.try(now, r) {
@@ -309,9 +312,13 @@
 	if len(r.attempts) >= min(r.most, b.set.MaxAttempts) || now >= r.aim || b.retries < 1 {
 		return false
 	}
-	return r.mayRun == nil || c.Effect == Safe || c.Effect == Keyed && now < r.mayRunAt+c.Window.Seconds()
+	return r.mayRun == nil || c.Effect == Safe || c.Effect == Keyed && now < r.windowEnd()
 }
 
+// windowEnd is until when a keyed request may be sent again. The window runs from the send: a slow answer
+// does not move it.
+func (r *request) windowEnd() float64 { return r.mayRunAt + r.class.Window.Seconds() }
+
 // learn books what an outcome shows of its backend.
 func (b *Balancer) learn(now float64, s *server, r *request, ev *Event) {
 	s.settle(now)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -130,7 +130,7 @@
 	}
 	// A new report decides afresh.
 	s.own = 1
-	b.requests["x"] = &request{id: "x", class: &class{}, attempts: []attempt{{s, true, 1}}, open: 1, final: true}
+	b.requests["x"] = &request{id: "x", class: &class{}, attempts: []attempt{{server: s, open: true, met: 1}}, open: 1, final: true}
 	outcome(b, t0+2*time.Second, Action{ID: "x", Server: 1}, Failed, Load{Known: true, Queue: 500})
 	if s.mode != discard {
 		t.Errorf("after a new report above R: mode %d, want discard", s.mode)
@@ -705,7 +705,7 @@
 		report := func(now time.Duration, id uint32, work float64) {
 			s := b.servers[id]
 			send := Action{ID: now.String()}
-			b.requests[send.ID] = &request{id: send.ID, class: b.classes[0], open: 1, attempts: []attempt{{s, true, 1}}}
+			b.requests[send.ID] = &request{id: send.ID, class: b.classes[0], open: 1, attempts: []attempt{{server: s, open: true, met: 1}}}
 			outcome(b, now, send, OK, Load{Known: true, Held: -1, Work: work})
 			b.Handle(now, &Event{Kind: EvTimer, Token: "tick"}, nil)
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -29,6 +29,7 @@
 	server *server
 	open   bool
 	met    float64 // occupancy plus one that it met
+	at     float64 // when it was sent
 }
 
 type request struct {
