A full answer where no deadline is told shuts no server out for good

Seen: with classes that tell no deadline, one "full" from a server with nothing waiting left it without a request for ever: 20 of 20 requests in the next two seconds were refused by a node whose only server was sound again.

Ruled out: ejection, which had not happened. At fault: learn in policy/policy.go took R for the occupancy that was met; R is infinite there, and no exit from discard is ever reached from an infinite occupancy.

Now such a "full" tells no occupancy. TestFullWithoutADeadlineIsOutlived: sent to again at the next request. The platform's settings tell deadlines.

--- a/policy/harden_test.go
+++ b/policy/harden_test.go
@@ -62,3 +62,23 @@
 		}
 	}
 }
+
+// With no deadline told, a server that turned a request away with nothing waiting has shown no limit: it is not shut out for good.
+func TestFullWithoutADeadlineIsOutlived(t *testing.T) {
+	set := hardenSettings()
+	set.Classes = []Class{{Name: "view", Worth: 1}}
+	b := hardened(t, set, 1)
+	for i, at := 0, time.Duration(0); ; i, at = i+1, at+100*time.Millisecond {
+		id := "r" + string(rune('a'+i))
+		s := sendOf(b.Handle(at, &Event{Kind: EvRequest, ID: id, Class: "view", Left: time.Minute}, nil))
+		switch {
+		case s == nil && i == 20:
+			t.Fatal("two seconds after a full server's answer nothing is sent to it")
+		case s == nil:
+			continue
+		case i > 0:
+			return
+		}
+		b.Handle(at, &Event{Kind: EvOutcome, ID: id, Outcome: Full, Last: true, Load: Load{Queue: -1, Held: -1}}, nil)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -361,7 +361,10 @@
 		}
 		// Turned away is the freshest report there is: R is reached, whatever older reports still arrive.
 		// Without this a full backend looks best, as what it turns away at once never counts as in flight.
-		s.full, s.fullAt = s.limit(b, b.service(s)), now
+		// Where no deadline is told and no limit was met, no R is known that it could have reached.
+		if full := s.limit(b, b.service(s)); !math.IsInf(full, 1) {
+			s.full, s.fullAt = full, now
+		}
 		// A draining backend turns all away until the list tells; a crowded one still answers others.
 		if s.lastOK < now-silence {
 			b.blame(now, s, outTau)
