One hasty client no longer hides from the node how old repeats are

Seen: after one first try with 1 ms left, repeats that were past their aim were sent. A repeat's age is told by what it has less than first tries have, and the least of those followed any client down and came up by 0.1% a request: thousands of requests until the rule worked again.

Ruled out: clocks. At fault: arrive in policy/policy.go, the update of least.

Now a first try with less than half of its class's deadline tells nothing of the others; the platform's clients have 70% of it or more. TestLittlePatienceTellsNothing failed before.

--- a/policy/harden_test.go
+++ b/policy/harden_test.go
@@ -82,3 +82,16 @@
 		b.Handle(at, &Event{Kind: EvOutcome, ID: id, Outcome: Full, Last: true, Load: Load{Queue: -1, Held: -1}}, nil)
 	}
 }
+
+// One client of little patience does not hide from the node how much time first tries have.
+func TestLittlePatienceTellsNothing(t *testing.T) {
+	b := hardened(t, hardenSettings(), 3)
+	ask := func(id string, left time.Duration, repeat bool) *Action {
+		return sendOf(b.Handle(0, &Event{Kind: EvRequest, ID: id, Class: "view", Left: left, Repeat: repeat}, nil))
+	}
+	ask("first", 4*time.Second, false)
+	ask("hasty", time.Millisecond, false)
+	if ask("repeat", 500*time.Millisecond, true) != nil { // 3.5 s old, past its aim of 3 s
+		t.Error("a repeat past its aim is sent")
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -171,7 +171,7 @@
 		// the age of its request. Work for one past its aim would only make others late.
 		if ev.Repeat && left < c.least-1e-3 {
 			aim -= max(0, c.Deadline.Seconds()-left)
-		} else if !ev.Repeat {
+		} else if !ev.Repeat && left > c.Deadline.Seconds()/2 { // little patience tells nothing of the others
 			c.least = min(c.least*1.001, left)
 		}
 		r.aim = min(r.aim, now+aim)
