Settings that name a tenant twice are refused, and L < H < R is a test

Seen: two tenants of one name were taken, and the second share was never looked at. At fault: Settings.Validate.

TestTenantsTwice failed before; the error names Tenants[1].Name. TestThresholdsKeepTheirOrder draws what is known of a server and what the settings tell: the modes' thresholds keep their order in all of them.

--- a/policy/api.go
+++ b/policy/api.go
@@ -89,7 +89,12 @@
 		}
 		seen[c.Name] = true
 	}
+	tenants := map[string]bool{}
 	for i, t := range s.Tenants {
+		if tenants[t.Name] {
+			return fmt.Errorf("policy: Tenants[%d].Name: %q is used twice", i, t.Name)
+		}
+		tenants[t.Name] = true
 		if !(t.QuotaPerS >= 0 && t.QuotaPerS <= math.MaxFloat64) {
 			return fmt.Errorf("policy: Tenants[%d] (%s): QuotaPerS: %v must not be negative", i, t.Name, t.QuotaPerS)
 		}
--- a/policy/harden_test.go
+++ b/policy/harden_test.go
@@ -1,8 +1,12 @@
 package policy
 
 import (
+	"math"
+	"strings"
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
 )
 
 // hardenSettings has a keyed class whose window is shorter than its deadline.
@@ -95,3 +99,31 @@
 		t.Error("a repeat past its aim is sent")
 	}
 }
+
+func TestTenantsTwice(t *testing.T) {
+	set := hardenSettings()
+	set.Tenants = []Tenant{{Name: "a", QuotaPerS: 1}, {Name: "a", QuotaPerS: 9}}
+	if err := set.Validate(); err == nil || !strings.Contains(err.Error(), "Tenants[1].Name") {
+		t.Errorf("%v, want an error that names Tenants[1].Name", err)
+	}
+}
+
+// L < H < R whatever is known of a server and whatever the settings tell: no mode is left where it was entered.
+func TestThresholdsKeepTheirOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		maybe := func(name string) float64 {
+			if rapid.Bool().Draw(t, name+" told") {
+				return rapid.Float64Range(1e-4, 1e5).Draw(t, name)
+			}
+			return math.Inf(1)
+		}
+		b := &Balancer{half: maybe("half"), aim: maybe("aim")}
+		s := &server{room: maybe("room"), slots: rapid.Float64Range(0, 1e5).Draw(t, "slots")}
+		service := rapid.Float64Range(1e-6, 1e3).Draw(t, "service")
+		r := s.limit(b, service)
+		h := s.high(b, r, service)
+		if l := h * abatement / onset; !(0 < l && l < h && h < r || math.IsInf(h, 1)) {
+			t.Fatalf("L %v, H %v, R %v", l, h, r)
+		}
+	})
+}
