Figures that fit nothing are refused by name, not wrapped around to none

Seen: cold_s or drain_grace_s of 1e300 was taken and became 0: cold servers counted as warm, and a drain's grace was over at once. memory_mb of 1e11 and cores of 1e300 overflowed in what is worked out from them.

Ruled out: JSON, which has no NaN and no infinity. At fault: seconds in internal/wire, which rounds whatever it is given, and load in internal/node/config.go, which had no upper bounds.

Now each names its field.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -32,6 +32,13 @@
 	file map[string]any // the file itself, for what may not be missing in the next
 }
 
+// What a file may tell at most: beyond it a figure is a mistake, and would overflow what is worked out from it.
+const (
+	maxCores    = 4096
+	maxMemoryMB = 1 << 24
+	maxSockets  = 1 << 24
+)
+
 // clientLimit is how many of the descriptors are for clients, poolLimit for backends. The rest is a reserve.
 func (c *Config) clientLimit() int { return c.shared() / 2 }
 func (c *Config) poolLimit() int   { return c.shared() * 3 / 8 }
@@ -119,12 +126,12 @@
 		}
 	}
 	switch {
-	case cfg.Cores < 0:
-		return Config{}, fmt.Errorf("limits.cores: %v is negative", cfg.Cores)
-	case cfg.MemoryMB < 0:
-		return Config{}, fmt.Errorf("limits.memory_mb: %d is negative", cfg.MemoryMB)
-	case cfg.Sockets < 0 || cfg.Sockets > 0 && cfg.Sockets < minSockets:
-		return Config{}, fmt.Errorf("limits.sockets: %d is below %d", cfg.Sockets, minSockets)
+	case cfg.Cores < 0 || cfg.Cores > maxCores:
+		return Config{}, fmt.Errorf("limits.cores: %v is outside 0 to %d", cfg.Cores, maxCores)
+	case cfg.MemoryMB < 0 || cfg.MemoryMB > maxMemoryMB:
+		return Config{}, fmt.Errorf("limits.memory_mb: %d is outside 0 to %d", cfg.MemoryMB, maxMemoryMB)
+	case cfg.Sockets < 0 || cfg.Sockets > maxSockets || cfg.Sockets > 0 && cfg.Sockets < minSockets:
+		return Config{}, fmt.Errorf("limits.sockets: %d is outside %d to %d", cfg.Sockets, minSockets, maxSockets)
 	case len(file.Settings) == 0:
 		return Config{}, errors.New("settings: missing")
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -406,6 +406,9 @@
 	if err := json.Unmarshal(text, &in); err != nil {
 		return Settings{}, err
 	}
+	if err := in.inRange(); err != nil {
+		return Settings{}, err
+	}
 	s := policy.Settings{Zone: in.Zone, OverShare: in.OverShare, Nodes: 1, MaxAttempts: 1,
 		Cancel: in.Limits.Cancel, MustAskIn: seconds(in.Rules.MustAskIn),
 		DrainGrace: seconds(in.Rules.DrainGrace),
@@ -445,6 +448,32 @@
 		Reports: in.Report.How == "piggyback"}, nil
 }
 
+// longest is the longest time that settings may tell, in seconds. What is far longer does not fit a duration, and would
+// wrap around to no time at all: no drain's grace, or no cold server.
+const longest = 1e8
+
+// inRange names the first time that is longer.
+func (in *info) inRange() error {
+	type told struct {
+		name string
+		s    float64
+	}
+	all := []told{{"policy_limits: max_retry_after_s", in.Limits.MaxRetry}, {"policy_limits: conn_idle_s", in.Limits.ConnIdle},
+		{"policy_limits: connect_timeout_s", in.Limits.ConnectTimeout}, {"invariants: cold_s", in.Rules.ColdFor},
+		{"invariants: drain_grace_s", in.Rules.DrainGrace}, {"invariants: fall_s", in.Rules.FallFor},
+		{"invariants: must_ask_in_s", in.Rules.MustAskIn}}
+	for i, g := range in.Grades {
+		p := fmt.Sprintf("grades[%d] (%s): ", i, g.Name)
+		all = append(all, told{p + "aim_s", g.Aim}, told{p + "deadline_s", g.Deadline}, told{p + "repeat_window_s", g.Window})
+	}
+	for _, v := range all {
+		if math.Abs(v.s) > longest {
+			return fmt.Errorf("%s: %v is out of range", v.name, v.s)
+		}
+	}
+	return nil
+}
+
 // AppendAction appends the line of one action of an instance.
 func AppendAction(buf []byte, who int64, a *policy.Action) []byte {
 	switch a.Kind {
