Servers are not blamed for the node's own descriptors or a client's haste

Seen, two ways to have every server ejected that none of them can help. A dial that fails with EMFILE, ENFILE or ENOBUFS was "could not connect", which counts four times as much as a failed answer; health checks took servers out for it too.

Ruled out: the pool's own bound, which was told apart before. At fault: Pool.Open, checker.probe and the outcome of Back.Attempt in internal/back/http.

Now the first is never sent and never blamed; so is the second below 100 ms of patience, or once the connection was there.

--- a/internal/back/http/attempt.go
+++ b/internal/back/http/attempt.go
@@ -31,6 +31,8 @@
 const (
 	// answerStall is how long an answer that could still be tried again may stand still once it has begun,
 	answerStall = 250 * time.Millisecond
+	// fairWait is what a sound backend takes to accept a connection at most, on a busy day: less tells nothing of one.
+	fairWait = 100 * time.Millisecond
 	// streamStall one that is passed on,
 	streamStall = 5 * time.Second
 )
@@ -58,10 +60,12 @@
 	switch {
 	case errors.Is(err, back.ErrSockets):
 		return core.Result{Outcome: policy.Moot} // not the backend's doing, and not to be held against it
-	case err != nil && context.Cause(ctx) == nil, errors.Is(context.Cause(ctx), errTimeout):
-		if c != nil {
+	case errors.Is(context.Cause(ctx), errTimeout) && (err == nil || a.Wait < fairWait):
+		if err == nil {
 			n.Pool.Put(c)
 		}
+		return core.Result{Outcome: policy.Moot} // the client's patience was too short for any backend
+	case err != nil && context.Cause(ctx) == nil, errors.Is(context.Cause(ctx), errTimeout):
 		return core.Result{Outcome: policy.ConnectFailed}
 	case err != nil:
 		return core.Result{Outcome: policy.Canceled}
--- a/internal/back/pool.go
+++ b/internal/back/pool.go
@@ -5,10 +5,12 @@
 	lists "container/list"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"portstall/internal/flow"
@@ -20,6 +22,12 @@
 
 var ErrSockets = errors.New("no descriptor is left for a connection to a backend")
 
+// OwnTrouble tells whether an error is this machine's, out of descriptors or memory, and tells nothing of the other side.
+func OwnTrouble(err error) bool {
+	return errors.Is(err, ErrSockets) || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) ||
+		errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
+}
+
 // Pool holds this node's connections to backends, within a part of the process's descriptors. Each has one owner at
 // a time, and comes back only after an answer that was read whole with nothing behind it.
 type Pool struct {
@@ -175,6 +183,9 @@
 		p.mu.Lock()
 		p.open--
 		p.mu.Unlock()
+		if OwnTrouble(err) {
+			err = fmt.Errorf("%w: %w", ErrSockets, err)
+		}
 		return nil, err
 	}
 	c := &Conn{Conn: conn, server: b}
--- a/internal/node/harden_test.go
+++ b/internal/node/harden_test.go
@@ -1,12 +1,81 @@
 package node
 
 import (
+	"context"
+	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
+
+	"portstall/internal/back"
+	"portstall/internal/core"
+	"portstall/internal/flow"
+	"portstall/policy"
 )
 
+// backendOf is the server that is listed under an id.
+func (n *node) backendOf(id string) *backend {
+	n.core.Lock()
+	defer n.core.Unlock()
+	return n.names[id]
+}
+
+// attemptAt is an attempt at a listed server.
+func (r *rig) attemptAt(id string, wait time.Duration) *core.Attempt {
+	in, _ := http.NewRequest("GET", "http://x/api", nil)
+	up, _ := flow.NewUpload(http.NoBody, 0)
+	return &core.Attempt{Request: &core.Request{Message: in, Body: up}, Server: r.backendOf(id).Server, Wait: wait}
+}
+
+// through makes the way to a server a test's own.
+func (r *rig) through(id string, via back.Dial) {
+	b := r.backendOf(id)
+	r.core.Lock()
+	defer r.core.Unlock()
+	b.Via = via
+}
+
+// What keeps a connection from coming up is held against the server only where it is the server's doing: not where this machine
+// has no descriptor left, nor where the client's patience was over before any server could have answered.
+func TestWhoseFaultItIs(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, newRegistry(t), settingsJSON, nil, newBox(t, served).entry("s-1"))
+	never := func(ctx context.Context, _ *net.Dialer, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	fails := func(err error) back.Dial {
+		return func(context.Context, *net.Dialer, string) (net.Conn, error) {
+			return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", err)}
+		}
+	}
+	for _, c := range []struct {
+		name string
+		via  back.Dial
+		wait time.Duration
+		want policy.Outcome
+	}{
+		{"no descriptor for the process", fails(syscall.EMFILE), patience, policy.Moot},
+		{"none for the machine", fails(syscall.ENFILE), patience, policy.Moot},
+		{"no memory for a socket", fails(syscall.ENOBUFS), patience, policy.Moot},
+		{"refused", fails(syscall.ECONNREFUSED), patience, policy.ConnectFailed},
+		{"a client of no patience", never, time.Millisecond, policy.Moot},
+		{"one who waits for a while", never, 300 * time.Millisecond, policy.ConnectFailed},
+	} {
+		r.through("s-1", c.via)
+		if res := r.Attempt(context.Background(), r.attemptAt("s-1", c.wait)); res.Outcome != c.want {
+			t.Errorf("%s: outcome %d, want %d", c.name, res.Outcome, c.want)
+		}
+	}
+	if open, _ := r.pool.Counts(); open != 0 {
+		t.Errorf("%d connections are booked", open)
+	}
+}
+
 // A file cut off at any byte is refused at a start and at a reload, and so is one whose figures are out of range; each error
 // names the file or the field.
 func TestHalfWrittenFiles(t *testing.T) {
--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -201,7 +201,7 @@
 	limited, cancel := context.WithTimeout(ctx, c.set.Timeout)
 	w, err := k.prober.Probe(limited, probe.Target{ID: s.ID, Addr: s.Addr, Dial: dial})
 	cancel()
-	late := err != nil && time.Since(begun) > c.set.Timeout+lateFailure
+	late := err != nil && (time.Since(begun) > c.set.Timeout+lateFailure || back.OwnTrouble(err))
 	c.mu.Lock()
 	now := c.node.core.Now()
 	changed := false
