A reload is checked whole before any of it is in force, and a refused one is no basis

Seen, two things. A file with new keys whose cells were refused had its keys in force all the same: a member that it did not name was cast out, while the log said that all stayed as it was. And a file that the node refused was what the next one was held against: with one more key in it, the file that had been in force could not be put back ("settings.more: missing").

Ruled out: the checks themselves. At fault: node.reload, which applied and checked in turns, and reread in cmd/portstall, which took a file for the one in force when it had only been handed over.

Now change checks keys, contracts, cells and settings and then applies them, and answers whether it did.

--- a/cmd/portstall/node.go
+++ b/cmd/portstall/node.go
@@ -24,13 +24,14 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	log := c.logger().With("node", cfg.Name)
-	reload := make(chan node.Config)
+	reload := make(chan node.Change)
 	go reread(ctx, hup, cfg, reload, log)
 	return node.Run(ctx, cfg, reload, log)
 }
 
-// reread passes on the configuration as it is after each SIGHUP, until ctx ends. One that is bad changes nothing.
-func reread(ctx context.Context, hup <-chan os.Signal, inForce node.Config, reload chan<- node.Config, log *slog.Logger) {
+// reread passes on the configuration as it is after each SIGHUP, until ctx ends. One that is bad, by itself or as the node
+// finds, changes nothing, and the next one is held against the one in force.
+func reread(ctx context.Context, hup <-chan os.Signal, inForce node.Config, reload chan<- node.Change, log *slog.Logger) {
 	for {
 		select {
 		case <-hup:
@@ -42,9 +43,17 @@
 			log.Error("the new configuration is bad; keeping the old one", "err", err)
 			continue
 		}
+		taken := make(chan error, 1)
 		select {
-		case reload <- cfg:
-			inForce = cfg
+		case reload <- node.Change{Config: cfg, Taken: taken}:
+		case <-ctx.Done():
+			return
+		}
+		select {
+		case err := <-taken:
+			if err == nil {
+				inForce = cfg
+			}
 		case <-ctx.Done():
 			return
 		}
--- a/internal/node/cells.go
+++ b/internal/node/cells.go
@@ -87,20 +87,14 @@
 	return out, true
 }
 
-// recell puts the cells' terms of a file that was read again in force. Whether there are cells is settled at the start.
-// The core's lock is held.
-func (n *node) recell(cfg Config) error {
+// terms are the cells' of a file that was read again. Whether there are cells is settled at the start.
+func (n *node) terms(cfg Config) (cell.Terms, error) {
 	has := cfg.Product != nil && cfg.Product.Cells != nil
 	if has != (n.cells != nil) {
-		return errors.New("cells: can't be put in or taken out by a reload")
+		return cell.Terms{}, errors.New("cells: can't be put in or taken out by a reload")
 	}
 	if !has {
-		return nil
+		return cell.Terms{}, nil
 	}
-	terms, err := cfg.Product.Cells.Terms()
-	if err != nil {
-		return err
-	}
-	n.cells.Change(terms)
-	return nil
+	return cfg.Product.Cells.Terms()
 }
--- a/internal/node/harden_test.go
+++ b/internal/node/harden_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -14,6 +15,7 @@
 	"portstall/internal/back"
 	"portstall/internal/core"
 	"portstall/internal/flow"
+	"portstall/internal/member"
 	"portstall/policy"
 )
 
@@ -76,6 +78,45 @@
 	}
 }
 
+// A configuration that is refused for one part of it changes nothing in the others: here its keys would have cast a member out.
+func TestRefusedReloadChangesNothing(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	var addrs, publics [2]string
+	for i := range 2 {
+		addrs[i] = free(t)
+		var err error
+		publics[i], err = member.MakeKey(filepath.Join(dir, fmt.Sprint("k", i)))
+		must(t, err)
+	}
+	file := func(i, of int, more string) func(*Config) {
+		text := fmt.Sprintf("members:\n  name: n%d\n  listen: %s\n  key: %s\n  seeds: [%q]\n  of:\n", i, addrs[i], filepath.Join(dir, fmt.Sprint("k", i)), addrs[0])
+		for k := range of {
+			text += fmt.Sprintf("  - {name: n%d, keys: [%s]}\n", k, publics[k])
+		}
+		return under(t, text+more)
+	}
+	var rigs [2]*rig
+	for i := range rigs {
+		rigs[i] = newRig(t, newRegistry(t), settingsJSON, file(i, 2, ""))
+		must(t, rigs[i].join(t.Context()))
+		t.Cleanup(rigs[i].edge.Close)
+	}
+	r := rigs[0]
+	wait(t, "joining", func() bool { return r.members().Alive == 2 && len(r.members().Members) == 1 })
+	cfg := r.cfg
+	cfg.Discovery = r.disc.addr
+	cfg.Settings.Policy.MaxAttempts = 1
+	file(0, 1, "cells: {size: 2}\n")(&cfg)
+	r.reload(cfg)
+	if all := r.members(); len(all.Members) != 1 {
+		t.Errorf("members after a reload that was refused: %+v", all.Members)
+	}
+	if got := r.set.Load().Policy.MaxAttempts; got != 3 {
+		t.Errorf("%d attempts after it", got)
+	}
+}
+
 // A file cut off at any byte is refused at a start and at a reload, and so is one whose figures are out of range; each error
 // names the file or the field.
 func TestHalfWrittenFiles(t *testing.T) {
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -89,17 +89,20 @@
 	}
 }
 
-// rekey puts other keys in force. The core's lock is not held.
-func (n *node) rekey(cfg Config) error {
+// ring is the keys of a file that was read again; nil where no instances talk.
+func (n *node) ring(cfg Config) (*member.Ring, error) {
 	if n.edge == nil || cfg.Product == nil || cfg.Product.Members == nil {
-		return nil
+		return nil, nil
 	}
 	_, ring, err := cfg.Product.Members.Ready()
-	if err != nil {
-		return err
+	return ring, err
+}
+
+// rekey puts other keys in force. The core's lock is not held.
+func (n *node) rekey(ring *member.Ring) {
+	if ring != nil {
+		n.edge.Do(func(now time.Duration, m *member.Member) { m.Rekey(now, ring) })
 	}
-	n.edge.Do(func(now time.Duration, m *member.Member) { m.Rekey(now, ring) })
-	return nil
 }
 
 // Member tells operators how another instance stands.
--- a/internal/node/members_test.go
+++ b/internal/node/members_test.go
@@ -92,7 +92,9 @@
 		for i, r := range rigs {
 			cfg := r.cfg
 			file(i, also...)(&cfg)
-			must(t, r.rekey(cfg))
+			ring, err := r.ring(cfg)
+			must(t, err)
+			r.rekey(ring)
 		}
 	}
 	reload(next)
@@ -106,7 +108,7 @@
 	publics[1] = publics[2] // a file that is wrong changes nothing
 	if f, err := config.Parse("p.yaml", []byte("members: {name: n1, listen: 127.0.0.1:0, key: nowhere, of: [{name: n1, keys: ["+next+"]}]}")); err != nil {
 		t.Fatal(err)
-	} else if cfg.Product = f; rigs[1].rekey(cfg) == nil {
+	} else if cfg.Product = f; rigs[1].reload(cfg) == nil {
 		t.Error("a key file that is not there is taken")
 	}
 	for _, p := range rigs[0].pages() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -88,9 +88,15 @@
 
 func (c clock) AfterFunc(d time.Duration, f func()) { time.AfterFunc(d, f) }
 
+// Change is a configuration that was read again, and where to tell what became of it: nil, or why all stays as it is.
+type Change struct {
+	Config
+	Taken chan<- error // never blocks
+}
+
 // Run serves until ctx ends, finishes what it has taken and returns. A configuration from reload replaces what can
 // be replaced while it serves: the settings, and the address of discovery.
-func Run(ctx context.Context, cfg Config, reload <-chan Config, log *slog.Logger) error {
+func Run(ctx context.Context, cfg Config, reload <-chan Change, log *slog.Logger) error {
 	if cfg.Cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(cfg.Cores)))
 	}
@@ -135,8 +141,8 @@
 	go func() {
 		for {
 			select {
-			case cfg := <-reload:
-				n.reload(cfg)
+			case change := <-reload:
+				change.Taken <- n.reload(change.Config)
 			case <-n.core.Context().Done():
 				return
 			}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -83,25 +83,39 @@
 }
 
 // reload takes in a configuration that was read again: the settings, and the address of discovery. The rest belongs
-// to the process's start.
-func (n *node) reload(cfg Config) {
-	if err := n.rekey(cfg); err != nil {
-		n.log.Error("the new keys are bad; keeping all as it is", "err", err)
-		return
+// to the process's start. All of it is checked before any is put in force: an error means that nothing has changed.
+func (n *node) reload(cfg Config) error {
+	err := n.change(cfg)
+	if err != nil {
+		n.log.Error("the new configuration is bad; keeping the old one", "err", err)
 	}
-	n.core.Lock()
-	defer n.core.Unlock()
-	if n.core.Context().Err() != nil {
-		return
+	return err
+}
+
+func (n *node) change(cfg Config) error {
+	ring, err := n.ring(cfg)
+	if err != nil {
+		return fmt.Errorf("members: %w", err)
 	}
 	table, err := cfg.contracts()
 	if err != nil {
-		n.log.Error("the new contracts are bad; keeping all as it is", "err", err)
-		return
+		return fmt.Errorf("contracts: %w", err)
 	}
-	if err := n.recell(cfg); err != nil {
-		n.log.Error("the new cells are bad; keeping all as it is", "err", err)
-		return
+	terms, err := n.terms(cfg)
+	if err != nil {
+		return err
+	}
+	if err := cfg.Settings.Policy.Validate(); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	n.rekey(ring)
+	n.core.Lock()
+	defer n.core.Unlock()
+	if err := n.core.Context().Err(); err != nil {
+		return err
+	}
+	if n.cells != nil {
+		n.cells.Change(terms)
 	}
 	n.retune(cfg.Settings)
 	n.core.Bind(table)
@@ -110,6 +124,7 @@
 	if cfg.Discovery != n.disc.addr {
 		n.follow(cfg.Discovery)
 	}
+	return nil
 }
 
 // replaces tells whether a configuration file can take the place of the one in force. Defaults are for a start, where
