A half-written product file takes no contracts away at a reload

Seen: of a file of contracts cut off at any byte, every part that ends with a line, and many that don't, is a sound file of fewer contracts, and the empty file is a sound one of none. A reload in the middle of a write dropped contracts and their bounds without a word.

Ruled out: a check of the YAML, which has nothing to object to. At fault: config.Parse and node.load, which asked only whether a file is sound by itself.

Without the mark a cut at the end of a line can't be told.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -5,6 +5,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -31,6 +32,25 @@
 	Cells     *Cells     `yaml:"cells"`
 	Health    *Health    `yaml:"health"`
 	Members   *Members   `yaml:"members"`
+
+	lined, marked bool // its text ends with the end of a line, and with YAML's mark for the end of a document
+}
+
+// Replaces tells whether the file can take the place of one in force. A part of a YAML file is often a file as well, of which
+// the rest is missing: one that is being written, or was cut off, must not take contracts away.
+func (f *File) Replaces(old *File) error {
+	parts := func(f *File) [7]bool {
+		return [...]bool{f.Services != nil, f.Contracts != nil, f.Parts != "", f.Tunnels != nil, f.Cells != nil, f.Health != nil, f.Members != nil}
+	}
+	switch {
+	case parts(f) == [7]bool{} && parts(old) != [7]bool{}:
+		return errors.New("nothing is in it")
+	case old.lined && !f.lined:
+		return errors.New("its last line has no end: it is not whole")
+	case old.marked && !f.marked:
+		return errors.New("it does not end with the line \"...\", as the one in force does: it is not whole")
+	}
+	return nil
 }
 
 // Cells give each tenant a subset of the web servers of its own, spread over zones and pods.
@@ -355,6 +375,8 @@
 	if err := Decode(name, text, f, f.check); err != nil {
 		return nil, err
 	}
+	f.lined = strings.HasSuffix(string(text), "\n")
+	f.marked = strings.HasSuffix(strings.TrimRight(string(text), "\r\n"), "\n...")
 	return f, nil
 }
 
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -153,6 +153,11 @@
 		if cfg.Product, err = config.Load(path); err != nil {
 			return Config{}, fmt.Errorf("PORTSTALL_FILE: %w", err)
 		}
+		if inForce != nil && inForce.Product != nil {
+			if err := cfg.Product.Replaces(inForce.Product); err != nil {
+				return Config{}, fmt.Errorf("PORTSTALL_FILE: %s: %w", path, err)
+			}
+		}
 		if _, err := cfg.contracts(); err != nil {
 			return Config{}, fmt.Errorf("PORTSTALL_FILE: %s: %w", path, err)
 		}
