A drain's end is on the node's clock, which does not step when the system's is set

Seen in reading: the time from which nothing new may be written to a server that drains was Unix time, compared with the system's clock at each send. A clock that is set back by ten seconds within the grace lets sends through for ten seconds more, nine past the rule.

Ruled out: the policy, which draws no such server; the gate is for what was drawn before, such as attempts that wait for a connection. At fault: Server.Pass in internal/back and drainBackend in internal/node.

Now both go by the core's clock, which runs on evenly. TestGraceEndsOnTheNodesClock drives it by hand; there was no way to before.

--- a/internal/back/server.go
+++ b/internal/back/server.go
@@ -40,10 +40,11 @@
 type Server struct {
 	ID    string
 	Addr  string
-	Via   Dial         // how it is reached; nil: directly
-	Gate  *Gate        // shut while operators have it out
-	Stop  atomic.Int64 // Unix nanoseconds from which nothing new may be written to it; 0 for none
-	Heard atomic.Int64 // attempts that something came back for
+	Via   Dial                 // how it is reached; nil: directly
+	Gate  *Gate                // shut while operators have it out
+	Stop  atomic.Int64         // nanoseconds on Now from which nothing new may be written to it; 0 for none
+	Heard atomic.Int64         // attempts that something came back for
+	Now   func() time.Duration // a clock that does not step when the system's is set; nil: the system's
 
 	// Guarded by Pool.mu.
 	conns   []*Conn // those with no owner, the latest last
@@ -61,12 +62,19 @@
 func (s *Server) Pass(first func() error) error {
 	s.Gate.mu.RLock()
 	defer s.Gate.mu.RUnlock()
-	if stop := s.Stop.Load(); s.Gate.shut || stop != 0 && time.Now().UnixNano() >= stop {
+	if stop := s.Stop.Load(); s.Gate.shut || stop != 0 && s.now() >= time.Duration(stop) {
 		return ErrShut
 	}
 	return first()
 }
 
+func (s *Server) now() time.Duration {
+	if s.Now == nil {
+		return time.Duration(time.Now().UnixNano())
+	}
+	return s.Now()
+}
+
 // Gated is the way to a server for one send. Its first bytes pass the gate, and are not written where that is shut.
 type Gated struct {
 	flow.Paced
--- /dev/null
+++ b/internal/back/server_test.go
@@ -0,0 +1,27 @@
+package back
+
+import (
+	"errors"
+	"testing"
+	"time"
+)
+
+// The end of a drain's grace is on the node's own clock: it comes in its time when the system's is set back meanwhile.
+func TestGraceEndsOnTheNodesClock(t *testing.T) {
+	var now time.Duration
+	s := &Server{Gate: NewGate(false), Now: func() time.Duration { return now }}
+	send := func() error { return s.Pass(func() error { return nil }) }
+	s.Stop.Store(int64(time.Second))
+	for _, c := range []struct {
+		at   time.Duration
+		want error
+	}{{0, nil}, {time.Second - 1, nil}, {time.Second, ErrShut}, {time.Hour, ErrShut}} {
+		if now = c.at; !errors.Is(send(), c.want) {
+			t.Errorf("at %v: %v, want %v", c.at, send(), c.want)
+		}
+	}
+	s.Gate.Set(true)
+	if s.Stop.Store(0); !errors.Is(send(), ErrShut) {
+		t.Error("a shut gate lets a send pass")
+	}
+}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -246,11 +246,11 @@
 				}
 			}
 			n.nextNum++
-			b = &backend{number: n.nextNum, started: s.StartedMS, Server: &back.Server{ID: s.ID, Addr: s.Addr, Via: n.way(s.ID), Gate: n.gate(s.ID)}}
+			b = &backend{number: n.nextNum, started: s.StartedMS, Server: &back.Server{ID: s.ID, Addr: s.Addr, Via: n.way(s.ID), Gate: n.gate(s.ID), Now: n.core.Now}}
 		case b.started != s.StartedMS:
 			old := b
 			// the policy tells the two apart by the start
-			b = &backend{number: old.number, started: s.StartedMS, Server: &back.Server{ID: s.ID, Addr: s.Addr, Via: old.Via, Gate: old.Gate}}
+			b = &backend{number: old.number, started: s.StartedMS, Server: &back.Server{ID: s.ID, Addr: s.Addr, Via: old.Via, Gate: old.Gate, Now: n.core.Now}}
 			n.pool.Clear(old.Server, true)
 		}
 		b.entry = *s
@@ -317,7 +317,7 @@
 // drainBackend lets nothing new be written to a backend once its grace is over, less the time that the news took.
 func (n *node) drainBackend(b *backend) {
 	grace := n.set.Load().Policy.DrainGrace * 9 / 10
-	if b.Stop.CompareAndSwap(0, time.Now().Add(grace).UnixNano()) {
+	if b.Stop.CompareAndSwap(0, int64(n.core.Now()+grace)) {
 		// Behind the grace, so that no tunnel that still comes to stand within it is missed.
 		time.AfterFunc(grace, func() {
 			if b.Stop.Load() != 0 {
