Operators' calls reach all processes of a node, also while a second upgrade runs

Seen: a process that still finishes what it took, its successor and that one's successor are one node, but each knew one other at most. An operator's "out" at the newest did not reach the oldest, which could still send a second attempt there; and when the oldest ended, its successor forgot the newest and passed nothing on. What was lent of the bodies' bytes was lent twice and given back once. A process that left kept its side of the talk open.

Ruled out: the socket and its order of state and orders. At fault: pair in internal/node/pair.go (one peer, Alone for whichever ended) and the interface of internal/upgrade, which did not say whose end or order it was.

Now a pair holds all others, orders are passed on to all but their sender, and leaving closes the talk.

--- a/internal/node/hand.go
+++ b/internal/node/hand.go
@@ -36,7 +36,7 @@
 		return mgmt.ErrUnknown
 	}
 	n.setDisabled(o)
-	return n.pair.tell(ctx, o)
+	return n.pair.tell(ctx, nil, o)
 }
 
 // knows tells whether some web server has the id, or had it when it was taken out.
--- a/internal/node/harden_test.go
+++ b/internal/node/harden_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -16,6 +18,7 @@
 	"portstall/internal/core"
 	"portstall/internal/flow"
 	"portstall/internal/member"
+	"portstall/internal/upgrade"
 	"portstall/policy"
 )
 
@@ -172,3 +175,59 @@
 		}
 	}
 }
+
+// A process that was replaced finishes what it took while its successor is replaced in its turn. Operators' calls reach all
+// three, and the end of one leaves the other two one node.
+func TestThreeProcessesAreOneNode(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	release := make(chan struct{})
+	a := newBox(t, firstHeld(release))
+	g := newRegistry(t)
+	heir := func(of *rig) *rig {
+		path := filepath.Join(t.TempDir(), "sock")
+		l, err := upgrade.Listen(path, of, slog.New(slog.DiscardHandler), of.pair.met)
+		must(t, err)
+		t.Cleanup(func() { l.Close() })
+		peer, text, err := upgrade.Dial(path)
+		must(t, err)
+		est := &estate{peer: peer}
+		must(t, json.Unmarshal(text, est))
+		r := newHeir(t, est, g, settingsJSON, nil)
+		wait(t, "a successor", func() bool { return r.Ready() == nil })
+		return r
+	}
+	out := func(r *rig, id string) bool {
+		r.core.Lock()
+		defer r.core.Unlock()
+		return r.hand.disabled[id]
+	}
+	first := newRig(t, g, settingsJSON, nil, a.entry("s-1"), newBox(t, served).entry("s-2"))
+	first.lists(2, a.entry("s-1"))
+	busy := first.dial(t)
+	busy.send(quote("open").text())
+	wait(t, "the request at the server", func() bool { return len(a.requests()) == 1 })
+	second := heir(first)
+	third := heir(second)
+	must(t, third.Disable(ctx, "s-1"))
+	if !out(first, "s-1") || !out(second, "s-1") {
+		t.Errorf("out at the first: %v, at the second: %v", out(first, "s-1"), out(second, "s-1"))
+	}
+	close(release)
+	if resp, _ := busy.answer(); resp.StatusCode != 200 {
+		t.Errorf("the first's request: %d", resp.StatusCode)
+	}
+	second.pair.mu.Lock()
+	gone := second.pair.before
+	second.pair.mu.Unlock()
+	second.Alone(gone) // as the end of its process does
+	must(t, third.Enable(ctx, "s-1"))
+	if out(second, "s-1") {
+		t.Error("the second is not told any more")
+	}
+	must(t, second.Disable(ctx, "s-1"))
+	if !out(third, "s-1") {
+		t.Error("the third is not told any more")
+	}
+}
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -56,7 +56,7 @@
 // Drain sends the clients away. What was taken is answered.
 func (n *node) Drain(ctx context.Context) error {
 	n.drain()
-	return n.pair.tell(ctx, upgrade.Order{Call: upgrade.Drain})
+	return n.pair.tell(ctx, nil, upgrade.Order{Call: upgrade.Drain})
 }
 
 func (n *node) drain() {
@@ -78,7 +78,7 @@
 		return errLeaving
 	}
 	n.resume()
-	return n.pair.tell(ctx, upgrade.Order{Call: upgrade.Resume})
+	return n.pair.tell(ctx, nil, upgrade.Order{Call: upgrade.Resume})
 }
 
 func (n *node) resume() {
--- a/internal/node/pair.go
+++ b/internal/node/pair.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
 	"path/filepath"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,8 +21,11 @@
 // readyTime is how long a successor waits for its predecessor to stop accepting. Both may for a while.
 const readyTime = time.Second
 
-// pair is this process's part in a replacement: it has at most one predecessor and one successor, and as long as one
-// of them is there the two are one node.
+// orderTime is how long another process may take over an order that is passed on.
+const orderTime = 500 * time.Millisecond
+
+// pair is this process's part in a replacement. As long as a predecessor or a successor is there, they are one node with it: a
+// process that was replaced may be finishing what it took while this one is replaced in its turn.
 type pair struct {
 	succeeded chan struct{} // closed when a successor serves
 	stopped   chan struct{} // closed when, for that, nothing more is accepted here
@@ -28,7 +33,8 @@
 	up        atomic.Bool   // this process accepts clients
 
 	mu       sync.Mutex
-	peer     *upgrade.Peer // the other process
+	before   *upgrade.Peer   // the predecessor,
+	peers    []*upgrade.Peer // and all other processes of this node
 	listener *upgrade.Listener
 	back     func() // takes back what was lent of the bodies' bytes; nil where the limits are not shared
 }
@@ -93,7 +99,8 @@
 	}
 	n.disc.whole = old.Discovery != n.cfg.Discovery // its versions are not this discovery's
 	n.takeList(&old.List, policy.ListCached)
-	n.pair.peer = old.peer
+	n.pair.before = old.peer
+	n.pair.met(old.peer)
 	n.share()
 	old.peer.Follow(n)
 }
@@ -101,7 +108,7 @@
 // takeOver is called once this process accepts clients. It lets the predecessor stop and waits for a successor.
 func (n *node) takeOver() {
 	n.pair.mu.Lock()
-	peer := n.pair.peer
+	peer := n.pair.before
 	n.pair.mu.Unlock()
 	if peer != nil {
 		ctx, cancel := context.WithTimeout(n.core.Context(), readyTime)
@@ -122,31 +129,37 @@
 	n.pair.up.Store(true)
 }
 
-// met notes a successor that is about to learn the state.
+// met notes another process: a successor is about to learn the state.
 func (p *pair) met(peer *upgrade.Peer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.peer = peer
+	p.peers = append(p.peers, peer)
 }
 
-// close ends the wait for successors.
+// close ends the wait for successors and the talk with other processes: this one has nothing more to do.
 func (p *pair) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.listener != nil {
 		p.listener.Close()
 	}
+	for _, peer := range p.peers {
+		peer.Close()
+	}
 }
 
-// tell passes an operator's call to the other process, if there is one.
-func (p *pair) tell(ctx context.Context, o upgrade.Order) error {
+// tell passes an operator's call to the other processes, but for the one that it came from.
+func (p *pair) tell(ctx context.Context, from *upgrade.Peer, o upgrade.Order) error {
 	p.mu.Lock()
-	peer := p.peer
+	peers := slices.Clone(p.peers)
 	p.mu.Unlock()
-	if peer == nil {
-		return nil
+	var errs error
+	for _, peer := range peers {
+		if peer != from {
+			errs = errors.Join(errs, peer.Order(ctx, o))
+		}
 	}
-	return peer.Order(ctx, o)
+	return errs
 }
 
 // hasHeir tells whether a successor serves.
@@ -182,8 +195,8 @@
 	return json.Marshal(e)
 }
 
-// Obey does what an operator told the other process.
-func (n *node) Obey(o upgrade.Order) error {
+// Obey does what an operator told another process, and passes it on to whom that one may not know.
+func (n *node) Obey(from *upgrade.Peer, o upgrade.Order) error {
 	switch o.Call {
 	case upgrade.Disable, upgrade.Enable:
 		n.setDisabled(o) // known there: that counts
@@ -194,7 +207,9 @@
 	default:
 		return fmt.Errorf("order %q is not known", o.Call)
 	}
-	return nil
+	ctx, cancel := context.WithTimeout(n.core.Context(), orderTime)
+	defer cancel()
+	return n.pair.tell(ctx, from, o)
 }
 
 // Succeed lets the successor have the clients.
@@ -204,16 +219,22 @@
 	n.share()
 }
 
-// Alone takes back the whole of the limits.
-func (n *node) Alone() {
+// Alone notes that another process is gone. With the last of them it takes back the whole of the limits.
+func (n *node) Alone(gone *upgrade.Peer) {
 	n.pair.mu.Lock()
-	back := n.pair.back
-	n.pair.peer, n.pair.back = nil, nil
+	n.pair.peers = slices.DeleteFunc(n.pair.peers, func(p *upgrade.Peer) bool { return p == gone })
+	var back func()
+	if len(n.pair.peers) == 0 {
+		back, n.pair.back = n.pair.back, nil
+	}
+	first := n.pair.before == gone
 	n.pair.mu.Unlock()
-	n.core.Lock()
-	n.core.Elsewhere(nil)
-	n.core.Unlock()
-	n.log.Info("the other process is gone")
+	if first {
+		n.core.Lock()
+		n.core.Elsewhere(nil)
+		n.core.Unlock()
+	}
+	n.log.Info("another process of this node is gone")
 	if back != nil {
 		back()
 		n.limits(1)
@@ -223,10 +244,11 @@
 // share leaves half of the limits to the other process: both count together.
 func (n *node) share() {
 	n.limits(2)
-	back := n.budget.Lend()
 	n.pair.mu.Lock()
 	defer n.pair.mu.Unlock()
-	n.pair.back = back
+	if n.pair.back == nil { // else it is lent already
+		n.pair.back = n.budget.Lend()
+	}
 }
 
 // limits sets what this process may use: its part of the node's descriptors and memory.
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -46,12 +46,12 @@
 type Node interface {
 	// State returns what a successor needs, as JSON.
 	State() (json.RawMessage, error)
-	// Obey does what an operator told the other process.
-	Obey(Order) error
+	// Obey does what an operator told another process, the one that the peer is.
+	Obey(*Peer, Order) error
 	// Succeed is called at a predecessor once its successor serves: it accepts no connection after its return.
 	Succeed()
-	// Alone is called when the other process is gone.
-	Alone()
+	// Alone is called when another process is gone: the one that the peer was.
+	Alone(*Peer)
 }
 
 // message is one line on the socket. Hello, ready and order are answered by an ack with the same number.
@@ -132,6 +132,9 @@
 	return err
 }
 
+// Close ends the talk, as the end of this process does.
+func (p *Peer) Close() error { return p.conn.Close() }
+
 // ask sends a message and waits for its ack.
 func (p *Peer) ask(ctx context.Context, m message) error {
 	answer := make(chan message, 1)
@@ -197,7 +200,7 @@
 		case m.Kind == ready:
 			node.Succeed()
 		case m.Kind == order && m.Order != nil:
-			err = node.Obey(*m.Order)
+			err = node.Obey(p, *m.Order)
 		default:
 			err = fmt.Errorf("message %q is not known", m.Kind)
 		}
@@ -217,7 +220,7 @@
 		delete(p.waits, number)
 	}
 	p.mu.Unlock()
-	node.Alone()
+	node.Alone(p)
 }
 
 // Listener waits for successors.
@@ -285,19 +288,19 @@
 	// An order that comes between the state and its arrival there must not be lost: the successor is known first,
 	// and the lock keeps orders behind the state.
 	p.mu.Lock()
-	var err error
-	if a.Error == "" {
+	met := a.Error == ""
+	if met {
 		l.met(p)
+		var err error
 		if a.State, err = l.node.State(); err != nil {
 			a.Error = err.Error()
 		}
 	}
-	err = p.write(a)
-	p.mu.Unlock()
-	if err != nil || a.Error != "" {
+	if p.write(a) != nil || a.Error != "" {
 		conn.Close()
 	}
-	if a.Error == "" {
+	p.mu.Unlock()
+	if met { // also where the state did not get through: whoever was met is told of as gone
 		p.read(l.node)
 	}
 }
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -28,9 +28,9 @@
 }
 
 func (f *fake) State() (json.RawMessage, error) { return json.RawMessage(f.state), nil }
-func (f *fake) Obey(o Order) error              { f.orders <- o; return f.err }
+func (f *fake) Obey(_ *Peer, o Order) error     { f.orders <- o; return f.err }
 func (f *fake) Succeed()                        { f.heir <- struct{}{} }
-func (f *fake) Alone()                          { f.alone <- struct{}{} }
+func (f *fake) Alone(*Peer)                     { f.alone <- struct{}{} }
 
 func within[T any](t *testing.T, what string, c <-chan T) T {
 	t.Helper()
