--- a/cmd/portstall/main_test.go
+++ b/cmd/portstall/main_test.go
@@ -42,8 +42,7 @@
 	return path
 }
 
-// freeAddr returns an address on which nothing listens. Another process may take it before the node does; the
-// kernel hands out ports in turn, so that this is as good as never.
+// freeAddr returns an address on which nothing listens.
 func freeAddr(t *testing.T) string {
 	t.Helper()
 	addr, err := standin.FreeAddr()
