A refusal for want of room says when to come back, and nonsense in a list is passed over

Seen, two small things. A request that found no room for its body was refused with 503 and no Retry-After, against the operators' own term. And lines of discovery's list with no id or no address became servers that requests were sent to and failed at; one that started beyond the year 2262 wrapped around to long ago and was taken for warm.

At fault: rejection in internal/front/http, and takeList in internal/node/discovery.go.

TestNoRoomForABody and TestListWithNonsense failed before.

--- a/internal/front/http/clients.go
+++ b/internal/front/http/clients.go
@@ -233,8 +233,9 @@
 // rejection is the answer to a request that is not handed to the policy. Its connection is closed: what follows on
 // it can't be told from the rest of that request.
 type rejection struct {
-	status int
-	text   string
+	status     int
+	text       string
+	retryAfter time.Duration // of a refusal
 }
 
 // talk answers one request after the other.
@@ -336,22 +337,22 @@
 	}
 	head, err := c.head()
 	if err != nil && !time.Now().Before(end) {
-		return nil, &rejection{stdhttp.StatusRequestTimeout, "the head did not come in time"}
+		return nil, &rejection{status: stdhttp.StatusRequestTimeout, text: "the head did not come in time"}
 	}
 	if errors.Is(err, bufio.ErrBufferFull) {
-		return nil, &rejection{stdhttp.StatusRequestHeaderFieldsTooLarge, "the head is too large"}
+		return nil, &rejection{status: stdhttp.StatusRequestHeaderFieldsTooLarge, text: "the head is too large"}
 	}
 	if err != nil {
-		return nil, &rejection{stdhttp.StatusBadRequest, err.Error()}
+		return nil, &rejection{status: stdhttp.StatusBadRequest, text: err.Error()}
 	}
 	if twoFramings(head) {
 		// net/http drops a Content-Length beside Transfer-Encoding: a request hidden by the one or the other would go
 		// unseen.
-		return nil, &rejection{stdhttp.StatusBadRequest, "Content-Length beside Transfer-Encoding"}
+		return nil, &rejection{status: stdhttp.StatusBadRequest, text: "Content-Length beside Transfer-Encoding"}
 	}
 	in, err := stdhttp.ReadRequest(c.in)
 	if err != nil {
-		return nil, &rejection{stdhttp.StatusBadRequest, err.Error()}
+		return nil, &rejection{status: stdhttp.StatusBadRequest, text: err.Error()}
 	}
 	r := &request{in: in}
 	if no := s.check(r, c); no != nil {
@@ -367,7 +368,7 @@
 	ctx, cancel := context.WithTimeout(s.Core.Context(), roomTime)
 	defer cancel()
 	if s.Budget.Request(ctx, held) != nil {
-		return &rejection{stdhttp.StatusServiceUnavailable, "too many bodies are on their way"}
+		return &rejection{status: stdhttp.StatusServiceUnavailable, text: "too many bodies are on their way", retryAfter: roomTime}
 	}
 	if in.ContentLength != 0 && in.Header.Get("Expect") != "" {
 		c.SetWriteDeadline(time.Now().Add(BodyStall))
@@ -391,11 +392,11 @@
 func badBody(err error) *rejection {
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return &rejection{stdhttp.StatusRequestTimeout, "the body did not come in time"}
+		return &rejection{status: stdhttp.StatusRequestTimeout, text: "the body did not come in time"}
 	case errors.Is(err, message.ErrTooLarge):
-		return &rejection{stdhttp.StatusRequestEntityTooLarge, fmt.Sprintf("body: over %d bytes", message.Max)}
+		return &rejection{status: stdhttp.StatusRequestEntityTooLarge, text: fmt.Sprintf("body: over %d bytes", message.Max)}
 	}
-	return &rejection{stdhttp.StatusBadRequest, "body: " + err.Error()} // cut short: what came is not what was meant
+	return &rejection{status: stdhttp.StatusBadRequest, text: "body: " + err.Error()} // cut short: what came is not what was meant
 }
 
 // paced returns a reader of a request's body that gives up on a client which stands still, or is too slow.
@@ -475,7 +476,7 @@
 func (s *Front) check(r *request, c *conn) *rejection {
 	in := r.in
 	no := func(status int, format string, args ...any) *rejection {
-		return &rejection{status, fmt.Sprintf(format, args...)}
+		return &rejection{status: status, text: fmt.Sprintf(format, args...)}
 	}
 	bad := stdhttp.StatusBadRequest
 	switch expect := in.Header.Get("Expect"); {
@@ -533,7 +534,7 @@
 			retryAfter: 250 * time.Millisecond}, true
 	}
 	if !s.Core.Begin(r.Request) {
-		c.reject(&rejection{stdhttp.StatusConflict, "X-Request-Id: a request with this id is open"})
+		c.reject(&rejection{status: stdhttp.StatusConflict, text: "X-Request-Id: a request with this id is open"})
 		return answer{}, false
 	}
 	select {
@@ -575,7 +576,7 @@
 
 // reject answers what is no request.
 func (c *conn) reject(no *rejection) {
-	if c.write(nil, answer{status: no.status, Answer: message.Answer{Body: []byte(no.text + "\n")}}, true) != nil {
+	if c.write(nil, answer{status: no.status, retryAfter: no.retryAfter, Answer: message.Answer{Body: []byte(no.text + "\n")}}, true) != nil {
 		return
 	}
 	// Closing resets a connection on which something is unread, and with it what the client has not read.
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -26,6 +27,7 @@
 	backoff   = 100 * time.Millisecond
 	backoffTo = 2 * time.Second
 	maxList   = 16 << 20
+	lastStart = math.MaxInt64 / int64(time.Millisecond) // what is later than this would wrap around to long ago: warm
 )
 
 // list is discovery's answer.
@@ -218,8 +220,11 @@
 	}
 	for i := range l.Servers {
 		s := &l.Servers[i]
+		if s.ID == "" || s.Addr == "" && n.names[s.ID] == nil {
+			continue // nothing can be sent there
+		}
 		e := policy.Entry{Zone: s.Zone, Cell: s.Cell, Kind: s.Kind,
-			Launched: max(time.Duration(s.StartedMS)*time.Millisecond, n.hand.returned[s.ID])}
+			Launched: max(time.Duration(min(s.StartedMS, lastStart))*time.Millisecond, n.hand.returned[s.ID])}
 		switch s.State {
 		case "Ready":
 		case "Gone":
--- a/internal/node/harden_test.go
+++ b/internal/node/harden_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -81,6 +82,45 @@
 	}
 }
 
+// A request that finds no room for its body is refused, and told when to come back.
+func TestNoRoomForABody(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, newRegistry(t), settingsJSON, nil, newBox(t, served).entry("s-1"))
+	must(t, r.budget.Request(context.Background(), r.cfg.bodyBytes()/2))
+	defer r.budget.RequestDone(r.cfg.bodyBytes() / 2)
+	q := save("s")
+	q.body = strings.Repeat("x", flow.Keep)
+	resp, _ := r.dial(t).ask(q)
+	after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	if resp.StatusCode != 503 || err != nil || after <= 0 || after > 2 {
+		t.Errorf("%d with Retry-After %q", resp.StatusCode, resp.Header.Get("Retry-After"))
+	}
+}
+
+// Lines of the list that name no server or no place are passed over, and one that started in no time that there is counts as
+// cold, not as long running.
+func TestListWithNonsense(t *testing.T) {
+	t.Parallel()
+	b := newBox(t, served)
+	far := b.entry("s-2")
+	far.StartedMS = 1 << 62
+	r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"), listed{ID: "s-9", State: "Ready"}, listed{Addr: "127.0.0.1:1", State: "Ready"}, far)
+	r.core.Lock()
+	if len(r.names) != 2 || r.names["s-1"] == nil || r.names["s-2"] == nil {
+		t.Errorf("%d servers", len(r.names))
+	}
+	r.core.Unlock()
+	for i := range 40 {
+		if resp, _ := r.dial(t).ask(view(fmt.Sprint("v", i))); resp.StatusCode != 200 {
+			t.Errorf("request %d: %d", i, resp.StatusCode)
+		}
+	}
+	r.lists(2, listed{ID: "s-1", State: "Gone"}, far) // the address of one that is known may be missing
+	if r.backendOf("s-1") != nil && !r.backendOf("s-1").left {
+		t.Error("one that has gone is there")
+	}
+}
+
 // A configuration that is refused for one part of it changes nothing in the others: here its keys would have cast a member out.
 func TestRefusedReloadChangesNothing(t *testing.T) {
 	t.Parallel()
