Remove three functions that nothing calls

One more cell of the fault table is run, an id that comes a second time while its request is half written.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -9,7 +9,6 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"fmt"
 	"math"
 	"slices"
@@ -228,15 +227,3 @@
 	v, _ := math.Lgamma(float64(n) + 1)
 	return v
 }
-
-// Fingerprint is a number for a subset: alike for alike ones.
-func Fingerprint(subset []Server) uint64 {
-	d := xxhash.New()
-	var n [8]byte
-	for _, s := range subset {
-		binary.LittleEndian.PutUint64(n[:], uint64(len(s.ID)))
-		d.Write(n[:])
-		d.WriteString(s.ID)
-	}
-	return d.Sum64()
-}
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -153,10 +153,10 @@
 	const tenants = 2000
 	for _, c := range []struct{ servers, size int }{{12, 3}, {120, 6}, {1200, 6}} {
 		m := New(Plan{Size: c.size}, fleet(c.servers, 3, 4)...)
-		load, same := map[string]int{}, map[uint64]int{}
+		load, same := map[string]int{}, map[string]int{}
 		for i := range tenants {
 			subset := m.Subset(fmt.Sprint("tenant-", i))
-			same[Fingerprint(subset)]++
+			same[fmt.Sprint(ids(subset))]++
 			for _, s := range subset {
 				load[s.ID]++
 			}
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -10,7 +10,6 @@
 import (
 	"crypto/sha256"
 	"crypto/subtle"
-	"encoding/hex"
 	"fmt"
 	"net/netip"
 	"slices"
@@ -260,9 +259,3 @@
 	}
 	return best, rank
 }
-
-// Digest is the form in which a file holds a token: the SHA-256 of it, in hex.
-func Digest(token string) string {
-	d := sha256.Sum256([]byte(token))
-	return hex.EncodeToString(d[:])
-}
--- a/internal/lab/scenario/parse.go
+++ b/internal/lab/scenario/parse.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"os"
 	"time"
 
 	"portstall/internal/config"
@@ -47,15 +46,6 @@
 	}
 }
 
-// Load reads a scenario file. An error names the file, the line and the field.
-func Load(path string) (Scenario, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return Scenario{}, err
-	}
-	return Parse(path, text)
-}
-
 // Parse reads a scenario; name stands for the text in errors.
 func Parse(name string, text []byte) (Scenario, error) {
 	s := Default()
--- a/internal/node/faults_test.go
+++ b/internal/node/faults_test.go
@@ -153,11 +153,12 @@
 	{name: "the client leaves", strike: func(c *trial) { c.leave() }, not: unread},
 	{name: "its id comes a second time", strike: func(c *trial) {
 		for _, q := range c.calls() {
+			q.body = q.body[:min(len(q.body), 10)]
 			if resp, _ := c.node().dial(c.t).ask(q); resp.StatusCode != http.StatusConflict {
 				c.t.Errorf("%s a second time while it is open: %d", q.id, resp.StatusCode)
 			}
 		}
-	}, not: map[stage]string{before: unread[before], kept: unread[kept], half: "as when written: the id is open from the head on"}},
+	}, not: map[stage]string{before: unread[before], kept: unread[kept]}},
 	{name: "the roster is out", strike: func(c *trial) {
 		calls := len(c.roster.calls())
 		for range 3 {
