--- a/internal/node/harden_test.go
+++ b/internal/node/harden_test.go
@@ -373,6 +373,25 @@
 	wait(t, "the end of all requests", func() bool { return r.core.Stats(0).Open == 0 })
 }
 
+// A server out by hand that comes back at another address costs no request its only attempt: the policy knows, and not the gate
+// alone.
+func TestOutByHandCostsNoAttempt(t *testing.T) {
+	t.Parallel()
+	a, moved, b := newBox(t, served), newBox(t, served), newBox(t, served)
+	one := strings.Replace(settingsJSON, `"max_attempts":3`, `"max_attempts":1`, 1)
+	r := newRig(t, newRegistry(t), one, nil, a.entry("s-1"), b.entry("s-2"))
+	must(t, r.Disable(context.Background(), "s-1"))
+	r.lists(2, moved.entry("s-1"), b.entry("s-2"))
+	for i := range 40 {
+		if resp, _ := r.dial(t).ask(view(fmt.Sprint("v", i))); resp.StatusCode != 200 {
+			t.Errorf("request %d: %d", i, resp.StatusCode)
+		}
+	}
+	if n := len(moved.requests()); n > 0 {
+		t.Errorf("%d requests at the server that is out", n)
+	}
+}
+
 // A request's id that its predecessor takes on a kept connection after the hand-over is not known to the successor.
 func TestIDsAfterAHandover(t *testing.T) {
 	t.Parallel()
