A test that a tenant's share decides which of its requests go first

Seen with the mechanism off: TestRequestsPastAShareAreLesser asks the draw itself, and nothing showed that requests go by it. With the draw's result thrown away all tests of the policy passed.

--- a/policy/harden_test.go
+++ b/policy/harden_test.go
@@ -108,6 +108,37 @@
 	}
 }
 
+// What a tenant asks for past its share is diverted first: the share decides on each request that comes, and on nothing else here.
+func TestSharesDecideWhoIsDivertedFirst(t *testing.T) {
+	set := hardenSettings()
+	set.OverShare, set.Tenants = 0.2, []Tenant{{Name: "big", QuotaPerS: 100}, {Name: "small", QuotaPerS: 100}}
+	set.Classes = set.Classes[:1] // worth as much as the average
+	b := hardened(t, set, 3)
+	first := map[string]int{}
+	for i := range 2000 { // 200 a second of big, 50 of small
+		now := time.Duration(i) * 4 * time.Millisecond
+		if i%62 == 0 {
+			b.Handle(now, &Event{Kind: EvTimer, Token: "tick"}, nil)
+		}
+		name := "big"
+		if i%5 == 0 {
+			name = "small"
+		}
+		b.Handle(now, &Event{Kind: EvRequest, ID: "r", Class: "view", Tenant: name, Left: 4 * time.Second}, nil)
+		r := b.requests["r"]
+		if r == nil {
+			t.Fatalf("request %d is refused", i)
+		}
+		if r.lesser && i >= 1000 {
+			first[name]++
+		}
+		b.Handle(now, &Event{Kind: EvOutcome, ID: "r", Took: time.Millisecond, Last: true, Load: Load{Queue: -1, Held: -1}}, nil)
+	}
+	if first["big"] < 300 || first["big"] > 500 || first["small"] > 0 {
+		t.Errorf("diverted first: %v of 800 at twice the share and 200 at half of it", first)
+	}
+}
+
 // L < H < R whatever is known of a server and whatever the settings tell: no mode is left where it was entered.
 func TestThresholdsKeepTheirOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
