A test that a full answer counts as R, whatever the reports tell

Seen with the mechanism off: TestFullCountsAsReportOfR passes, since the cap that the same answer leaves takes the server out of normal there. With two requests reported, the cap alone leaves it normal.

--- a/policy/harden_test.go
+++ b/policy/harden_test.go
@@ -108,6 +108,17 @@
 	}
 }
 
+// A server that turns a request away has reached R, however little its reports tell of: the cap alone would leave it normal.
+func TestFullReachesRWhateverIsReported(t *testing.T) {
+	b := node(t, settings(), Entry{ID: 1, Zone: "a"})
+	s := b.servers[1]
+	fix(s, t0, 2)
+	outcome(b, t0, ask(b, t0, "r", "top"), Full, Load{Queue: -1, Held: -1})
+	if s.mode != discard {
+		t.Errorf("mode %d after a full answer, want discard", s.mode)
+	}
+}
+
 // What a tenant asks for past its share is diverted first: the share decides on each request that comes, and on nothing else here.
 func TestSharesDecideWhoIsDivertedFirst(t *testing.T) {
 	set := hardenSettings()
