--- a/internal/node/judge_test.go
+++ b/internal/node/judge_test.go
@@ -43,7 +43,8 @@
 	{Name: "quote", Effect: "unsafe"}}
 
 func newJudge() *judge {
-	return &judge{start: time.Now(), open: map[string]int{}, sends: map[string]int{}, book: oracle.New(oracle.Figures{MaxAttempts: 3,
+	// The books take 0 for never: an hour has passed before anything happens.
+	return &judge{start: time.Now().Add(-time.Hour), open: map[string]int{}, sends: map[string]int{}, book: oracle.New(oracle.Figures{MaxAttempts: 3,
 		AnswerSlack: patience, DrainGrace: cellGrace, FallMultiple: 4, FallFor: 1500 * time.Millisecond, ColdSlack: 0.1}, judged, 1, true)}
 }
 
