--- a/internal/node/faults_test.go
+++ b/internal/node/faults_test.go
@@ -358,6 +358,16 @@
 		}
 	}
 	close(c.over)
+	wait(c.t, "the stands' notice of each end", func() bool {
+		c.judge.mu.Lock()
+		defer c.judge.mu.Unlock()
+		for _, n := range c.judge.open {
+			if n > 0 {
+				return false
+			}
+		}
+		return true
+	})
 	for _, broken := range c.judge.verdict(nil) {
 		c.t.Error(broken)
 	}
