One piece for what the tests wrote again: hand-overs, members' files, a good file, attempts

Read once more: the steps of a hand-over stood five times in the node's tests, now in meet and succeed; the file of members that may talk twice, now in fellows; the good platform file that broken ones are cut from twice, now goodFile; the way to a server and an attempt at it were made by hand beside through and attemptAt. The judge's verdict took what was left over from nobody, and OwnTrouble asked for an error that no dial of its callers returns.

No test asks for less, and behaviour stays. The node's tests pass under the race detector.

--- a/internal/back/pool.go
+++ b/internal/back/pool.go
@@ -24,7 +24,7 @@
 
 // OwnTrouble tells whether an error is this machine's, out of descriptors or memory, and tells nothing of the other side.
 func OwnTrouble(err error) bool {
-	return errors.Is(err, ErrSockets) || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) ||
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) ||
 		errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
 }
 
--- a/internal/node/faults_test.go
+++ b/internal/node/faults_test.go
@@ -3,14 +3,11 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -20,7 +17,6 @@
 	"go.uber.org/goleak"
 
 	"portstall/internal/lab/oracle"
-	"portstall/internal/upgrade"
 	"portstall/internal/wire"
 	"portstall/policy"
 )
@@ -309,10 +305,7 @@
 	c.spare = c.stand("s-9")
 	c.r = newRig(c.t, c.roster, cellSettings, nil, c.entries(c.victims, "Ready")...)
 	for _, s := range c.victims {
-		b := c.r.backendOf(s.id)
-		c.r.core.Lock()
-		b.Via = s.via
-		c.r.core.Unlock()
+		c.r.through(s.id, s.via)
 	}
 	switch c.stage {
 	case kept:
@@ -368,7 +361,7 @@
 		}
 		return true
 	})
-	for _, broken := range c.judge.verdict(nil) {
+	for _, broken := range c.judge.verdict() {
 		c.t.Error(broken)
 	}
 }
@@ -536,15 +529,5 @@
 
 // succeed lets another process take over, which new clients then reach.
 func (c *trial) succeed() {
-	path := filepath.Join(c.t.TempDir(), "sock")
-	l, err := upgrade.Listen(path, c.r, slog.New(slog.DiscardHandler), c.r.pair.met)
-	must(c.t, err)
-	c.t.Cleanup(func() { l.Close() })
-	peer, text, err := upgrade.Dial(path)
-	must(c.t, err)
-	est := &estate{peer: peer}
-	must(c.t, json.Unmarshal(text, est))
-	heir := newHeir(c.t, est, c.roster, cellSettings, nil)
-	wait(c.t, "the successor", func() bool { return heir.Ready() == nil })
-	c.heir = heir
+	c.heir = succeed(c.t, c.r.meet(c.t), c.roster, cellSettings)
 }
--- a/internal/node/harden_test.go
+++ b/internal/node/harden_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -22,7 +21,6 @@
 	"portstall/internal/contract"
 	"portstall/internal/core"
 	"portstall/internal/flow"
-	"portstall/internal/member"
 	"portstall/internal/upgrade"
 	"portstall/internal/wire"
 	"portstall/policy"
@@ -140,24 +138,10 @@
 // A configuration that is refused for one part of it changes nothing in the others: here its keys would have cast a member out.
 func TestRefusedReloadChangesNothing(t *testing.T) {
 	t.Parallel()
-	dir := t.TempDir()
-	var addrs, publics [2]string
-	for i := range 2 {
-		addrs[i] = free(t)
-		var err error
-		publics[i], err = member.MakeKey(filepath.Join(dir, fmt.Sprint("k", i)))
-		must(t, err)
-	}
-	file := func(i, of int, more string) func(*Config) {
-		text := fmt.Sprintf("members:\n  name: n%d\n  listen: %s\n  key: %s\n  seeds: [%q]\n  of:\n", i, addrs[i], filepath.Join(dir, fmt.Sprint("k", i)), addrs[0])
-		for k := range of {
-			text += fmt.Sprintf("  - {name: n%d, keys: [%s]}\n", k, publics[k])
-		}
-		return under(t, text+more)
-	}
+	some := newFellows(t, 2)
 	var rigs [2]*rig
 	for i := range rigs {
-		rigs[i] = newRig(t, newRegistry(t), settingsJSON, file(i, 2, ""))
+		rigs[i] = newRig(t, newRegistry(t), settingsJSON, under(t, some.file(i, 2)))
 		must(t, rigs[i].join(t.Context()))
 		t.Cleanup(rigs[i].edge.Close)
 	}
@@ -166,7 +150,7 @@
 	cfg := r.cfg
 	cfg.Discovery = r.disc.addr
 	cfg.Settings.Policy.MaxAttempts = 1
-	file(0, 1, "cells: {size: 2}\n")(&cfg)
+	under(t, some.file(0, 1)+"cells: {size: 2}\n")(&cfg)
 	r.reload(cfg)
 	if all := r.members(); len(all.Members) != 1 {
 		t.Errorf("members after a reload that was refused: %+v", all.Members)
@@ -181,9 +165,7 @@
 func TestHalfWrittenFiles(t *testing.T) {
 	t.Parallel()
 	path := filepath.Join(t.TempDir(), "config.json")
-	good := `{"name":"n7","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","mgmt":"127.0.0.1:3","seed":"1",` +
-		`"limits":{"cores":1,"memory_mb":64,"sockets":256},"known":{"version":1,"full":true,"servers":[]},"settings":` +
-		strings.Replace(settingsJSON, `"report"`, `"projects":[{"name":"a","quota_per_s":5},{"name":"b","quota_per_s":5}],"report"`, 1) + `}`
+	good := strings.Replace(goodFile, `"report"`, `"projects":[{"name":"a","quota_per_s":5},{"name":"b","quota_per_s":5}],"report"`, 1)
 	getenv := func(name string) string { return map[string]string{"GW_CONFIG": path}[name] }
 	must(t, os.WriteFile(path, []byte(good), 0o600))
 	inForce, err := Load(getenv)
@@ -241,19 +223,6 @@
 	release := make(chan struct{})
 	a := newBox(t, firstHeld(release))
 	g := newRegistry(t)
-	heir := func(of *rig) *rig {
-		path := filepath.Join(t.TempDir(), "sock")
-		l, err := upgrade.Listen(path, of, slog.New(slog.DiscardHandler), of.pair.met)
-		must(t, err)
-		t.Cleanup(func() { l.Close() })
-		peer, text, err := upgrade.Dial(path)
-		must(t, err)
-		est := &estate{peer: peer}
-		must(t, json.Unmarshal(text, est))
-		r := newHeir(t, est, g, settingsJSON, nil)
-		wait(t, "a successor", func() bool { return r.Ready() == nil })
-		return r
-	}
 	out := func(r *rig, id string) bool {
 		r.core.Lock()
 		defer r.core.Unlock()
@@ -264,8 +233,8 @@
 	busy := first.dial(t)
 	busy.send(quote("open").text())
 	wait(t, "the request at the server", func() bool { return len(a.requests()) == 1 })
-	second := heir(first)
-	third := heir(second)
+	second := succeed(t, first.meet(t), g, settingsJSON)
+	third := succeed(t, second.meet(t), g, settingsJSON)
 	must(t, third.Disable(ctx, "s-1"))
 	if !out(first, "s-1") || !out(second, "s-1") {
 		t.Errorf("out at the first: %v, at the second: %v", out(first, "s-1"), out(second, "s-1"))
@@ -407,18 +376,10 @@
 	old := newRig(t, g, settingsJSON, nil, a.entry("s-1"))
 	keeps := old.dial(t)
 	keeps.ask(view("v"))
-	path := filepath.Join(t.TempDir(), "sock")
-	l, err := upgrade.Listen(path, old, slog.New(slog.DiscardHandler), old.pair.met)
-	must(t, err)
-	defer l.Close()
-	peer, text, err := upgrade.Dial(path)
-	must(t, err)
+	est := old.meet(t)
 	keeps.send(quote("late").text()) // taken behind the state
 	wait(t, "the request at the server", func() bool { return len(a.requests()) == 2 })
-	est := &estate{peer: peer}
-	must(t, json.Unmarshal(text, est))
-	young := newHeir(t, est, g, settingsJSON, nil)
-	wait(t, "the successor", func() bool { return young.Ready() == nil })
+	young := succeed(t, est, g, settingsJSON)
 	expectedFailure(t, 20, func() error {
 		if resp, _ := young.dial(t).ask(quote("late")); resp.StatusCode != http.StatusConflict {
 			return fmt.Errorf("the id of an open request is taken by the successor: %d", resp.StatusCode)
@@ -433,12 +394,7 @@
 	a := newBox(t, served)
 	g := newRegistry(t)
 	old := newRig(t, g, settingsJSON, nil, a.entry("s-1"))
-	path := filepath.Join(t.TempDir(), "sock")
-	l, err := upgrade.Listen(path, old, slog.New(slog.DiscardHandler), old.pair.met)
-	must(t, err)
-	defer l.Close()
-	peer, _, err := upgrade.Dial(path)
-	must(t, err)
+	peer := old.meet(t).peer
 	peer.Follow(deaf{})
 	must(t, peer.Ready(context.Background()))
 	must(t, peer.Close()) // and ends
--- a/internal/node/judge_test.go
+++ b/internal/node/judge_test.go
@@ -114,10 +114,10 @@
 }
 
 // verdict is all that was broken, once everything is over.
-func (j *judge) verdict(left map[string]int) []string {
+func (j *judge) verdict() []string {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.book.Close(j.now(), left)
+	j.book.Close(j.now(), nil)
 	out := append([]string(nil), j.faults...)
 	for _, b := range j.book.Breaches() {
 		out = append(out, b.String())
@@ -398,7 +398,7 @@
 			c := newTrial(t, before)
 			a, b := c.stand("s-1"), c.stand("s-2")
 			p.play(c, a, b)
-			found := strings.Join(c.judge.verdict(nil), "\n")
+			found := strings.Join(c.judge.verdict(), "\n")
 			if (p.want == "") != (found == "") || !strings.Contains(found, p.want) {
 				t.Errorf("found %q, want %q", found, p.want)
 			}
--- a/internal/node/members_test.go
+++ b/internal/node/members_test.go
@@ -12,30 +12,49 @@
 	"portstall/internal/member"
 )
 
+// fellows are instances that may talk with each other.
+type fellows struct {
+	dir            string
+	addrs, publics []string
+}
+
+func newFellows(t testing.TB, n int) *fellows {
+	t.Helper()
+	f := &fellows{dir: t.TempDir()}
+	for i := range n {
+		public, err := member.MakeKey(f.key(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.addrs, f.publics = append(f.addrs, free(t)), append(f.publics, public)
+	}
+	return f
+}
+
+// key is the key file of one.
+func (f *fellows) key(i int) string { return filepath.Join(f.dir, fmt.Sprint("k", i)) }
+
+// file is what one is told of the first of them; the second may have more keys.
+func (f *fellows) file(i, of int, also ...string) string {
+	text := fmt.Sprintf("members:\n  name: n%d\n  listen: %s\n  key: %s\n  seeds: [%q]\n  of:\n", i, f.addrs[i], f.key(i), f.addrs[0])
+	for k, p := range f.publics[:of] {
+		keys := []string{p}
+		if k == 1 {
+			keys = append(keys, also...)
+		}
+		text += fmt.Sprintf("  - {name: n%d, keys: [%s]}\n", k, strings.Join(keys, ", "))
+	}
+	return text
+}
+
 // Two instances that find each other by their file: what both see fail at a web server makes a third look sooner and send it
 // less, and never takes it out; keys roll without a stop; and without the file no socket is opened.
 func TestMembersAtNode(t *testing.T) {
 	t.Parallel()
 	const nodes = 4
-	var addrs, publics [nodes]string
-	dir := t.TempDir()
-	for i := range nodes {
-		addrs[i] = free(t)
-		var err error
-		publics[i], err = member.MakeKey(filepath.Join(dir, fmt.Sprint("k", i)))
-		must(t, err)
-	}
+	some := newFellows(t, nodes)
 	file := func(i int, also ...string) func(*Config) {
-		text := fmt.Sprintf("health: {checks: {interval: 1h, tcp: {}}}\nmembers:\n  name: n%d\n  listen: %s\n  key: %s\n  seeds: [%q]\n  of:\n",
-			i, addrs[i], filepath.Join(dir, fmt.Sprint("k", i)), addrs[0])
-		for k, p := range publics {
-			keys := []string{p}
-			if k == 1 {
-				keys = append(keys, also...)
-			}
-			text += fmt.Sprintf("  - {name: n%d, keys: [%s]}\n", k, strings.Join(keys, ", "))
-		}
-		return under(t, text)
+		return under(t, "health: {checks: {interval: 1h, tcp: {}}}\n"+some.file(i, nodes, also...))
 	}
 	gray := newBox(t, served)
 	list := []listed{gray.entry("s-0"), newBox(t, served).entry("s-1")}
@@ -84,7 +103,7 @@
 	close(stop)
 	<-done
 	// n1 rolls: the next key goes round, then it is used, then the old one is struck off.
-	path := filepath.Join(dir, "k1")
+	path := some.key(1)
 	next, err := member.NextKey(path)
 	must(t, err)
 	reload := func(also ...string) {
@@ -101,11 +120,11 @@
 	_, err = member.UseNext(path)
 	must(t, err)
 	reload(next)
-	publics[1] = next
+	some.publics[1] = next
 	reload()
 	wait(t, "all with the new key", func() bool { return everybody(rigs[0]) && everybody(rigs[1]) && everybody(rigs[3]) })
 	cfg := rigs[1].cfg
-	publics[1] = publics[2] // a file that is wrong changes nothing
+	some.publics[1] = some.publics[2] // a file that is wrong changes nothing
 	if f, err := config.Parse("p.yaml", []byte("members: {name: n1, listen: 127.0.0.1:0, key: nowhere, of: [{name: n1, keys: ["+next+"]}]}")); err != nil {
 		t.Fatal(err)
 	} else if cfg.Product = f; rigs[1].reload(cfg) == nil {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1002,12 +1002,7 @@
 	t.Parallel()
 	b := newBox(t, served)
 	r := newRig(t, newRegistry(t), settingsJSON, nil, b.entry("s-1"))
-	r.core.Lock()
-	be := r.names["s-1"]
-	r.core.Unlock()
-	in, _ := http.NewRequest("POST", "http://x/api", nil)
-	up, _ := flow.NewUpload(http.NoBody, 0)
-	a := &core.Attempt{Request: &core.Request{Message: in, Body: up}, Server: be.Server, Wait: patience}
+	a := r.attemptAt("s-1", patience)
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
 	r.pool.Resize(0)
--- a/internal/node/pair_test.go
+++ b/internal/node/pair_test.go
@@ -3,19 +3,15 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"log/slog"
 	"net"
 	"net/http"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
 	"portstall/internal/flow"
-	"portstall/internal/upgrade"
 )
 
 // A successor holds to what its predecessor was told, and while both run what one is told the other does.
@@ -36,16 +32,7 @@
 	must(t, old.Disable(ctx, "s-2"))
 	must(t, old.Enable(ctx, "s-2"))
 
-	path := filepath.Join(t.TempDir(), "sock")
-	l, err := upgrade.Listen(path, old, slog.New(slog.DiscardHandler), old.pair.met)
-	must(t, err)
-	defer l.Close()
-	peer, text, err := upgrade.Dial(path)
-	must(t, err)
-	est := &estate{peer: peer}
-	must(t, json.Unmarshal(text, est))
-	young := newHeir(t, est, g, settingsJSON, nil)
-	wait(t, "the successor's readiness", func() bool { return young.Ready() == nil })
+	young := succeed(t, old.meet(t), g, settingsJSON)
 
 	young.core.Lock()
 	if young.version != 7 || len(young.names) != 3 || young.names["s-3"].Stop.Load() == 0 {
--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -55,12 +55,14 @@
 	}
 }
 
+const goodFile = `{"name":"n7","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","mgmt":"127.0.0.1:3","seed":"1",` +
+	`"limits":{"cores":1,"memory_mb":64,"sockets":256},"known":{"version":1,"full":true,"servers":[]},"settings":` + settingsJSON + `}`
+
 // A file that is broken in any way changes nothing; the error names what is wrong.
 func TestBrokenFiles(t *testing.T) {
 	t.Parallel()
 	path := filepath.Join(t.TempDir(), "config.json")
-	good := `{"name":"n7","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","mgmt":"127.0.0.1:3","seed":"1",` +
-		`"limits":{"cores":1,"memory_mb":64,"sockets":256},"known":{"version":1,"full":true,"servers":[]},"settings":` + settingsJSON + `}`
+	good := goodFile
 	env := map[string]string{"GW_CONFIG": path}
 	getenv := func(name string) string { return env[name] }
 	must(t, os.WriteFile(path, []byte(good), 0o600))
--- a/internal/node/stub_test.go
+++ b/internal/node/stub_test.go
@@ -9,12 +9,14 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"portstall/internal/upgrade"
 	"portstall/internal/wire"
 )
 
@@ -250,6 +252,34 @@
 	return r
 }
 
+// meet is what a successor does first: it asks for the state, and is one node with r from then on.
+func (r *rig) meet(t testing.TB) *estate {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "sock")
+	l, err := upgrade.Listen(path, r, slog.New(slog.DiscardHandler), r.pair.met)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	peer, text, err := upgrade.Dial(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	est := &estate{peer: peer}
+	if err := json.Unmarshal(text, est); err != nil {
+		t.Fatal(err)
+	}
+	return est
+}
+
+// succeed starts the node that takes over from whom the state is of, and returns once it serves.
+func succeed(t testing.TB, est *estate, g *registry, settings string) *rig {
+	t.Helper()
+	r := newHeir(t, est, g, settings, nil)
+	wait(t, "the successor", func() bool { return r.Ready() == nil })
+	return r
+}
+
 type call struct {
 	method, class, id, key, body, deadline string
 }
