--- a/internal/health/probe/probe_test.go
+++ b/internal/health/probe/probe_test.go
@@ -42,13 +42,13 @@
 		t.Fatal(err)
 	}
 	defer a.Stop()
-	_, port, _ := net.SplitHostPort(a.Addr())
+	host, port, _ := net.SplitHostPort(a.Addr())
 	var unknown []string
 	check := &AgentCheck{Unknown: func(_ string, words []string) { unknown = words }, Send: "how are you\n"}
 	for _, c := range port {
 		check.Port = check.Port*10 + int(c-'0')
 	}
-	at := direct("127.0.0.1:1")
+	at := direct(net.JoinHostPort(host, "1"))
 	w, err := ask(t, check, at, patience)
 	if err != nil || w.State != health.Up || w.Admin != health.Ready || w.Weight != 1 {
 		t.Fatal(w, err)
