--- a/policy/api.go
+++ b/policy/api.go
@@ -244,7 +244,7 @@
 // Evidence is what requests and reports have shown of a server. What each draw reads stands first: of thousands none is in
 // the processor's cache.
 type Evidence struct {
-	Mode               mode
+	Mode               Mode
 	Trial              bool    // one attempt at a time until one succeeds
 	Ejected            float64 // nothing is sent until then
 	Others, ReportAt   float64 // occupancy by reports beyond this node's own, smoothed, as of then
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -532,7 +532,7 @@
 }
 
 // pick draws a backend in the given mode or a better one, by weights that fall with the expected delay.
-func (b *Balancer) pick(now float64, r *request, worst mode) *server {
+func (b *Balancer) pick(now float64, r *request, worst Mode) *server {
 	var chosen, spare *server
 	from, sum := b.candidates(r), 0.0
 	b.Picks++
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -82,9 +82,9 @@
 	below := func(x float64) float64 { return x - 1e-6 }
 	for _, c := range []struct {
 		name string
-		from mode
+		from Mode
 		n    float64
-		want mode
+		want Mode
 	}{
 		{"normal stays under H", normal, below(h), normal},
 		{"normal to overload at H", normal, h, overload},
@@ -114,7 +114,7 @@
 	clear := 1.0 // R at its service time: 20 held at 50 ms
 	for _, c := range []struct {
 		age  float64
-		want mode
+		want Mode
 	}{{clear - 0.01, discard}, {clear + 0.01, overload}} {
 		fix(s, t0, 500) // so high that fading does not end the discard
 		s.Mode = discard
@@ -699,7 +699,7 @@
 func TestTimeInWorkTellsOfACrowd(t *testing.T) {
 	for _, c := range []struct {
 		work float64
-		want mode
+		want Mode
 	}{{0.05, normal}, {0.2, normal}, {4, overload}} {
 		b := node(t, settings(), Entry{ID: 1, Zone: "a"}, Entry{ID: 2, Zone: "a", Launched: t0})
 		report := func(now time.Duration, id uint32, work float64) {
@@ -981,7 +981,7 @@
 func TestAgedDiscardWaitsForANewReport(t *testing.T) {
 	for _, c := range []struct {
 		age  float64 // R clears in 1 s
-		want mode
+		want Mode
 	}{{0, discard}, {0.9, discard}, {1.1, overload}} {
 		b := node(t, settings(), Entry{ID: 1, Zone: "a"})
 		s := b.servers[1]
--- a/policy/state.go
+++ b/policy/state.go
@@ -2,12 +2,11 @@
 
 import "math/rand/v2"
 
-// What a node remembers. Declarations only; all decisions are in policy.go.
-
-type mode uint8
+// Mode is the design's mode of a server. Here is what a node remembers; all decisions are in policy.go.
+type Mode uint8
 
 const (
-	normal mode = iota
+	normal Mode = iota
 	overload
 	discard
 )
