A successor takes over in two phases with all that was learnt, and its end leaves the old process

A successor did not know ids taken behind the state, learnt service times, queues and modes anew, gave contracts empty budgets; and one that ended after its yes left nobody who served.

The node hands it over with its hello and again, exact, with Yours; internal/handover decides, internal/upgrade carries words, claims and ends in the order they were told, and keeps the token: a lock on a file with a number on it. The clients' listener is a door that shuts and opens, so that a predecessor keeps it until its end. Keys of moves go over. Front.Wait can be left.

--- a/internal/cell/keys.go
+++ b/internal/cell/keys.go
@@ -1,6 +1,10 @@
 package cell
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Keys remembers where keys may have run, so that what is in doubt by a Tenant's terms alone can be sent where the node
 // itself has sent it before. It holds a bounded number: past it the oldest is forgotten, and its repeats are in doubt
@@ -60,6 +64,31 @@
 	return r.pod, known && now < r.until
 }
 
+// Kept is a key that is remembered.
+type Kept struct {
+	Key   uint64
+	Pod   int64
+	Until time.Duration
+}
+
+// All are those remembered whose time is not up.
+func (k *Keys) All(now time.Duration) (all []Kept) {
+	for key, r := range k.of {
+		if now < r.until {
+			all = append(all, Kept{key, r.pod, r.until})
+		}
+	}
+	return all
+}
+
+// Restore takes up what another process remembered.
+func (k *Keys) Restore(now time.Duration, all []Kept) {
+	slices.SortFunc(all, func(a, b Kept) int { return cmp.Compare(a.Until, b.Until) }) // the oldest is forgotten first
+	for _, e := range all {
+		k.Sent(now, e.Key, e.Pod, e.Until-now)
+	}
+}
+
 // Len is how many are remembered, and Forgot how many were pushed out within their window, since the start.
 func (k *Keys) Len() int      { return len(k.of) }
 func (k *Keys) Forgot() int64 { return k.forgot }
--- a/internal/cell/placer.go
+++ b/internal/cell/placer.go
@@ -129,6 +129,9 @@
 	}
 }
 
+// Keys are the keys that are remembered.
+func (p *Placer) Keys() *Keys { return p.keys }
+
 // Place tells to which servers, by their numbers, a request may go; the list is not to be changed. Doubt: its key may have
 // run where nobody can tell, and it must be turned away.
 func (p *Placer) Place(now time.Duration, r *Request) (among []uint32, doubt bool) {
--- a/internal/contract/ledger.go
+++ b/internal/contract/ledger.go
@@ -104,6 +104,7 @@
 	part     float64       // of the contracts that this node hands out
 	sharedAt time.Duration // when that was last corrected
 	fill     float64       // of its budgets that a contract has when it is first used
+	portion  float64       // of the node's part that this process hands out
 	allowed  float64       // server-seconds a second that all may use together; infinite at ease
 	inUse    float64       // that they do use, smoothed
 	charged  float64       // since the last tick
@@ -114,13 +115,73 @@
 
 // NewLedger opens the books at the given time, for a node that hands out an even part of each contract until Share corrects it.
 func NewLedger(t *Table, now time.Duration, part float64) *Ledger {
-	return &Ledger{table: t, states: make([]*state, t.Len()), now: now, tickAt: now, even: part, part: part, sharedAt: now, fill: 1, allowed: math.Inf(1)}
+	return &Ledger{table: t, states: make([]*state, t.Len()), now: now, tickAt: now, even: part, part: part, sharedAt: now, fill: 1, portion: 1, allowed: math.Inf(1)}
 }
 
 // Succeed says that this node takes over from one whose budgets are not known: contracts that were not used yet begin with
 // empty ones, so that a hand-over gives nobody a second burst.
 func (l *Ledger) Succeed() { l.fill = 0 }
 
+// Left is what is left of a contract, for a process that goes on in this one's place.
+type Left struct {
+	Name                      string
+	Tokens, Work, Bytes, Kept float64 // as in Level; below 0: debt
+	Firsts, Furthers          float64
+	Cost, Demand              float64
+}
+
+// Left tells what is left of all that were used.
+func (l *Ledger) Left(now time.Duration) (all []Left) {
+	for i, s := range l.states {
+		if s != nil {
+			c, s := l.state(i, l.clock(now))
+			all = append(all, Left{c.Name, s.tokens, s.work, s.bytes, s.kept, s.firsts, s.furthers, s.cost, s.demand})
+		}
+	}
+	return all
+}
+
+// Resume goes on from what another process had left. Without credit only debts count, as that process may have spent since
+// what it had left; and contracts that it does not name begin with nothing, so that none has a second burst.
+func (l *Ledger) Resume(now time.Duration, left []Left, credit bool) {
+	l.Succeed()
+	l.Empty(now)
+	for _, o := range left {
+		i := slices.IndexFunc(l.table.terms, func(c Terms) bool { return c.Name == o.Name })
+		if i < 0 {
+			continue
+		}
+		c, s := l.state(i, l.clock(now))
+		most := func(v, most float64) float64 {
+			if !credit {
+				most = 0
+			}
+			return min(v, most)
+		}
+		s.tokens, s.work = most(o.Tokens, l.burst(c)), most(o.Work, c.Limit*l.part)
+		s.bytes, s.kept = most(o.Bytes, c.Bandwidth*l.part), most(o.Kept, c.Guaranteed*l.part*saved.Seconds())
+		s.firsts, s.furthers, s.cost, s.demand = o.Firsts, o.Furthers, o.Cost, o.Demand
+	}
+}
+
+// Empty takes all that is left unused: another process has it now.
+func (l *Ledger) Empty(now time.Duration) {
+	l.fill = 0
+	for i, s := range l.states {
+		if s != nil {
+			_, s = l.state(i, l.clock(now))
+			s.tokens, s.work, s.bytes, s.kept = min(0, s.tokens), min(0, s.work), min(0, s.bytes), min(0, s.kept)
+		}
+	}
+}
+
+// Portion sets which portion of this node's part this process hands out, where another one of the node hands out the rest;
+// 1: all of it.
+func (l *Ledger) Portion(p float64) {
+	f := p / l.portion
+	l.even, l.part, l.portion = l.even*f, l.part*f, p
+}
+
 // Table is the contracts in force.
 func (l *Ledger) Table() *Table { return l.table }
 
@@ -152,13 +213,14 @@
 	now = l.clock(now)
 	dt := (now - l.sharedAt).Seconds()
 	if l.table.EvenParts {
-		part = l.even
+		part = l.even / l.portion
 	}
 	if !(part >= 0) || dt < tick.Seconds() {
 		return
 	}
 	l.sharedAt = now
-	l.part += (min(1, max(l.even/4, part)) - l.part) * (1 - math.Exp(-dt/partTau))
+	part *= l.portion
+	l.part += (min(l.portion, max(l.even/4, part)) - l.part) * (1 - math.Exp(-dt/partTau))
 }
 
 // Part is the part of the contracts that this node hands out now.
--- a/internal/core/contracts.go
+++ b/internal/core/contracts.go
@@ -29,11 +29,31 @@
 	}
 }
 
-// Succeed says that this node takes over from another process: no contract has a second burst by that. The lock is held.
-func (c *Core) Succeed() {
+// Left is what is left of the contracts. The lock is held.
+func (c *Core) Left() []contract.Left {
+	if c.ledger == nil {
+		return nil
+	}
+	return c.ledger.Left(c.Now())
+}
+
+// Resume goes on from what another process had left of the contracts; without credit only from its debts. The lock is held.
+func (c *Core) Resume(left []contract.Left, credit bool) {
 	if c.ledger != nil {
-		c.ledger.Succeed()
+		c.ledger.Resume(c.Now(), left, credit)
+	}
+}
+
+// Portion sets which portion of this node's part of the contracts this process hands out. Empty takes what is left unused: it
+// is another process's. The lock is held.
+func (c *Core) Portion(p float64, empty bool) {
+	if c.ledger == nil {
+		return
+	}
+	if empty {
+		c.ledger.Empty(c.Now())
 	}
+	c.ledger.Portion(p)
 }
 
 // admit asks the contracts, and gives a request that they turn away its final answer.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"portstall/internal/contract"
+	"portstall/internal/handover"
 	"portstall/policy"
 )
 
@@ -61,6 +62,17 @@
 // ErrCanceled is why an attempt's context ends when nobody waits for the attempt any more.
 var ErrCanceled = errors.New("the attempt was cancelled")
 
+// Heir is the process that takes over from this one, and decides which ids may begin here.
+type Heir interface {
+	// Claim asks whether a request may begin that lasts until then at most. It waits for the answer, for a short time.
+	Claim(id string, until time.Duration) handover.Verdict
+	// Ended tells that a request has ended. It is called with the core's lock held, and must not wait.
+	Ended(id string)
+}
+
+// busyAfter is when a client is to come back whose request met a successor that did not say whether it may begin.
+const busyAfter = 250 * time.Millisecond
+
 // Request is one client request. Its fields are set by the front before Begin and not changed afterwards.
 type Request struct {
 	ID, Class, Tenant string
@@ -138,12 +150,13 @@
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
 
-	bal       *policy.Balancer
-	ledger    *contract.Ledger // nil where there are no contracts
-	even      float64          // part of them that this node hands out to begin with
-	actions   []policy.Action
-	requests  map[string]*Request // by the clients' ids
-	elsewhere map[string]time.Duration
+	bal      *policy.Balancer
+	ledger   *contract.Ledger // nil where there are no contracts
+	even     float64          // part of them that this node hands out to begin with
+	actions  []policy.Action
+	requests map[string]*Request // by the clients' ids
+	ids      handover.Ids        // those that other processes of this node have open
+	heir     Heir                // is asked before each request; nil: nobody is
 }
 
 // Options are what a core is made of.
@@ -197,8 +210,30 @@
 	c.Lock()
 	defer c.Unlock()
 	now := c.Now()
-	if c.requests[r.ID] != nil || now < c.elsewhere[r.ID] {
+	verdict := c.ids.Begin(now, r.ID, c.requests[r.ID] != nil)
+	if verdict == handover.Ask {
+		heir := c.heir
+		c.Unlock()
+		verdict = heir.Claim(r.ID, now+r.Patience)
+		c.Lock()
+		c.ids.Answered(r.ID)
+		now = c.Now()
+		if verdict != handover.Open {
+			defer func() {
+				if c.requests[r.ID] == nil { // it was not taken, or is over already
+					heir.Ended(r.ID)
+				}
+			}()
+		}
+	}
+	switch verdict {
+	case handover.Open:
 		return false
+	case handover.Busy: // nothing was sent, and who serves now can't be asked
+		r.done = make(chan Answer, 1)
+		r.answered = true
+		r.done <- Answer{Kind: Refused, RetryAfter: busyAfter}
+		return true
 	}
 	// The answer must be with the client when its time is up: the way there and back and the time that the
 	// request has spent here are off.
@@ -322,6 +357,9 @@
 	c.settleGrant(r)
 	if r.written {
 		delete(c.requests, r.ID)
+		if c.heir != nil {
+			c.heir.Ended(r.ID)
+		}
 	}
 }
 
@@ -406,15 +444,33 @@
 	})
 }
 
-// Elsewhere names requests that another process of this node has open, by id, and until when: none of them begins here.
-// The lock is held.
-func (c *Core) Elsewhere(open map[string]time.Duration) { c.elsewhere = open }
+// Ids are the requests that other processes of this node have open. The lock is held.
+func (c *Core) Ids() *handover.Ids { return &c.ids }
 
-// Open names the requests that are open here, and until when. The lock is held.
+// Claim takes in that another process wants to begin a request.
+func (c *Core) Claim(from handover.Peer, id string, until time.Duration) handover.Verdict {
+	c.Lock()
+	defer c.Unlock()
+	return c.ids.Claim(c.Now(), from, id, c.requests[id] != nil, until)
+}
+
+// Yield lets another process decide from now on which requests may begin here; nil: this one decides again. The lock is held.
+func (c *Core) Yield(to Heir) { c.heir, c.ids.Asks = to, to != nil }
+
+// Open names the requests that are open here, or are to begin, and until when. The lock is held.
 func (c *Core) Open() map[string]time.Duration {
 	open := make(map[string]time.Duration, len(c.requests))
 	for id, r := range c.requests {
 		open[id] = r.until
 	}
+	for _, id := range c.ids.Asked() {
+		open[id] = c.Now() + time.Minute // its patience is not known here; its end is told
+	}
 	return open
 }
+
+// Learnt is what the policy has learnt. The lock is held.
+func (c *Core) Learnt() *policy.Learnt { return c.bal.Learnt() }
+
+// Adopt gives the policy what another process has learnt, behind the list and before any request. The lock is held.
+func (c *Core) Adopt(l *policy.Learnt) { c.bal.Adopt(c.Now(), l) }
--- a/internal/front/http/clients.go
+++ b/internal/front/http/clients.go
@@ -58,10 +58,11 @@
 type Front struct {
 	Options
 	slots chan struct{}
-	wg    sync.WaitGroup // connections
 
-	mu    sync.Mutex
-	conns map[*conn]struct{}
+	mu     sync.Mutex
+	conns  map[*conn]struct{}
+	active int           // connections, and what else Go runs
+	quiet  chan struct{} // closed when none is left; nil while nobody waits for it
 }
 
 // conn is one of them.
@@ -112,10 +113,46 @@
 }
 
 // Go runs f in a goroutine that Wait waits for.
-func (s *Front) Go(f func()) { s.wg.Go(f) }
+func (s *Front) Go(f func()) {
+	s.mu.Lock()
+	s.active++
+	s.mu.Unlock()
+	go func() {
+		defer func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.active--; s.active == 0 && s.quiet != nil {
+				close(s.quiet)
+				s.quiet = nil
+			}
+		}()
+		f()
+	}()
+}
 
-// Wait returns once no connection is left and all that Go runs has ended.
-func (s *Front) Wait() { s.wg.Wait() }
+// Wait returns true once no connection is left and all that Go runs has ended; false if ctx ends or the time is up before. New
+// connections may come after it has returned.
+func (s *Front) Wait(ctx context.Context, d time.Duration) bool {
+	s.mu.Lock()
+	if s.active == 0 {
+		s.mu.Unlock()
+		return true
+	}
+	if s.quiet == nil {
+		s.quiet = make(chan struct{})
+	}
+	quiet := s.quiet
+	s.mu.Unlock()
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-quiet:
+		return true
+	case <-ctx.Done():
+	case <-t.C:
+	}
+	return false
+}
 
 // Take takes a slot for one more connection, if one is free; Serve gives it back, or Leave.
 func (s *Front) Take() bool {
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -81,6 +81,13 @@
 	}
 }
 
+// Alone is Ready where no other process of the node can be: it takes the clients.
+func (m *Machine) Alone(env Env) {
+	m.Built = true
+	m.enter(Serves)
+	env.Accept(true)
+}
+
 // ask asks the predecessor for the clients. Without one it looks once more who is there, and takes them if nobody is.
 func (m *Machine) ask(env Env) {
 	if m.Before == 0 {
@@ -185,7 +192,7 @@
 		}
 	}
 	if who == m.Heir && m.Heir != 0 {
-		m.Heir = 0
+		m.Heir, m.waited = 0, 0
 		m.takeBack(env)
 	}
 }
@@ -199,7 +206,9 @@
 	if !had {
 		return
 	}
-	if n != m.Number && m.waited < 2*yieldTicks { // let go for a third process, which is to have it unless it ends too
+	// The successor has raised the number by one when it took the token, and by one more if it let it go for a third process, which
+	// is to have it unless it ends too.
+	if n > m.Number+1 && m.waited < 2*yieldTicks {
 		env.Unlock()
 		return
 	}
@@ -238,5 +247,8 @@
 	return m.Phase == Seeking || m.Phase == Asking || m.Phase == Yielding || m.Phase == Relieved && m.Heir == 0
 }
 
+// Settled tells of a process without successor that it has tried for long enough to take the node back: another one serves.
+func (m *Machine) Settled() bool { return m.waited > 3*yieldTicks }
+
 // End takes in that the process was told to end.
 func (m *Machine) End() { m.Ends = true }
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -33,6 +33,7 @@
 	file map[string]any // the file itself, for what may not be missing in the next
 	// process: the whole process is this node, so that its limits are the process's. Not so in tests, which run many in one.
 	process bool
+	meet    string        // in tests, the socket where processes of one node meet
 	slack   time.Duration // in tests, is added to what clients and web servers have for what is begun
 }
 
--- /dev/null
+++ b/internal/node/door.go
@@ -0,0 +1,74 @@
+package node
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// door is the clients' listener, which can be shut and opened again while its socket stays: while it is shut, connections wait
+// in the kernel's queue, or go to another process that listens on the same socket. It is shut at first.
+type door struct {
+	net.Listener
+	mu      sync.Mutex
+	open    bool
+	closed  bool
+	changed chan struct{} // closed at the next change
+}
+
+func newDoor(ln net.Listener) *door { return &door{Listener: ln, changed: make(chan struct{})} }
+
+// set opens or shuts it. An Accept that is under way when it is shut may still return a connection.
+func (d *door) set(open bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.open == open {
+		return
+	}
+	d.open = open
+	close(d.changed)
+	d.changed = make(chan struct{})
+	if l, ok := d.Listener.(interface{ SetDeadline(time.Time) error }); ok {
+		if open {
+			l.SetDeadline(time.Time{})
+		} else {
+			l.SetDeadline(time.Unix(1, 0)) // wakes whoever is accepting
+		}
+	}
+}
+
+// Accept waits until the door is open and a connection has come.
+func (d *door) Accept() (net.Conn, error) {
+	for {
+		d.mu.Lock()
+		open, closed, changed := d.open, d.closed, d.changed
+		d.mu.Unlock()
+		switch {
+		case closed:
+			return nil, net.ErrClosed
+		case !open:
+			<-changed
+			continue
+		}
+		c, err := d.Listener.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			continue
+		}
+		return c, err
+	}
+}
+
+// Close closes the socket too.
+func (d *door) Close() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return nil
+	}
+	d.closed = true
+	close(d.changed)
+	d.changed = make(chan struct{})
+	return d.Listener.Close()
+}
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -15,17 +15,19 @@
 type phase uint8
 
 const (
-	serving phase = iota
-	drained       // operators sent the clients away; they can call them back
-	leaving       // SIGTERM has come: no way back
+	serving  phase = iota
+	drained        // operators sent the clients away; they can call them back
+	relieved       // a successor serves; if it ends, what was before is again
+	leaving        // SIGTERM has come: no way back
 )
 
 // lifecycle holds the phase. While it is not serving each answer tells its client to close, and connections that
 // carry no request are closed; what was taken is answered all the same.
 type lifecycle struct {
-	mu    sync.Mutex
-	phase phase
-	since time.Time // when clients were first sent away
+	mu     sync.Mutex
+	phase  phase
+	before phase     // what a successor relieved
+	since  time.Time // when clients were first sent away
 }
 
 // sendsAway tells whether clients are to close their connections.
@@ -44,6 +46,13 @@
 	if l.phase == p || l.phase == leaving {
 		return false
 	}
+	if l.phase == relieved && p != leaving { // what operators say is for the successor, and for here if that ends
+		l.before = p
+		return true
+	}
+	if p == relieved {
+		l.before = l.phase
+	}
 	if l.phase == serving {
 		l.since = time.Now()
 	}
@@ -51,6 +60,22 @@
 	return true
 }
 
+// recall ends what a successor has relieved.
+func (l *lifecycle) recall() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.phase == relieved {
+		l.phase = l.before
+	}
+}
+
+// forHeir is what a successor is to know: whether operators have sent the clients away.
+func (l *lifecycle) forHeir() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.phase == drained || l.phase == relieved && l.before == drained
+}
+
 var errLeaving = errors.New("this process is leaving")
 
 // Drain sends the clients away. What was taken is answered.
@@ -74,7 +99,7 @@
 
 // Resume ends a drain.
 func (n *node) Resume(ctx context.Context) error {
-	if n.life.now() == leaving && !n.pair.hasHeir() {
+	if n.life.now() == leaving && !n.pair.yields() {
 		return errLeaving
 	}
 	n.resume()
@@ -103,7 +128,7 @@
 func (n *node) readiness() int {
 	n.core.Lock()
 	defer n.core.Unlock()
-	if !n.ready || n.life.sendsAway() && !n.pair.hasHeir() { // a successor is ready for both
+	if !n.ready || n.life.sendsAway() && !n.pair.yields() { // a successor is ready for both
 		return http.StatusServiceUnavailable
 	}
 	return http.StatusOK
--- /dev/null
+++ b/internal/node/snapshot.go
@@ -0,0 +1,125 @@
+package node
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"portstall/internal/cell"
+	"portstall/internal/handover"
+	"portstall/internal/state"
+	"portstall/policy"
+)
+
+// snapshot is the node's state now. Exact: for a successor, to which it is all that has happened. The core's lock is held; what
+// it holds is copied, so that it is written down without the lock.
+func (n *node) snapshot(exact bool) *state.Snapshot {
+	now := n.core.Now()
+	s := &state.Snapshot{Taken: now, Fleet: n.fleet(), Exact: exact, Drained: n.life.forHeir(), Version: n.version,
+		Servers: make([]state.Server, 0, len(n.names)), Out: slices.Collect(maps.Keys(n.hand.disabled)),
+		Returned: ats(n.hand.returned), Open: ats(n.core.Open()), Hearsay: ats(n.core.Ids().Theirs(now)), Contracts: n.core.Left()}
+	learnt := n.core.Learnt()
+	known := make([]int, n.nextNum+1) // from 1 on, by number
+	for i := range learnt.Servers {
+		known[learnt.Servers[i].ID] = i + 1
+	}
+	evidence := make([]state.Evidence, len(learnt.Servers)) // in one piece: of 10,000 each by itself takes longer than all else
+	for _, b := range n.names {
+		if b.left {
+			continue
+		}
+		e := &b.entry
+		v := state.Server{ID: b.ID, Addr: b.Addr, Zone: e.Zone, Kind: e.Kind, Cell: e.Cell, State: e.State, Started: e.StartedMS}
+		if i := known[b.number] - 1; i >= 0 {
+			evidence[i] = state.Evidence(learnt.Servers[i].Evidence)
+			v.Known = &evidence[i]
+		}
+		s.Servers = append(s.Servers, v)
+	}
+	for name, sums := range learnt.Classes {
+		s.Classes = append(s.Classes, state.Class{Name: name, Sums: sums})
+	}
+	s.Totals = learnt.Totals
+	if n.cells != nil {
+		for _, k := range n.cells.Keys().All(now) {
+			s.Keys = append(s.Keys, state.Key(k))
+		}
+	}
+	return s
+}
+
+// fleet names what the list is of.
+func (n *node) fleet() string { return n.disc.addr }
+
+func ats(m map[string]time.Duration) []state.At {
+	list := make([]state.At, 0, len(m))
+	for id, at := range m {
+		list = append(list, state.At{ID: id, At: at})
+	}
+	return list
+}
+
+func byID(list []state.At) map[string]time.Duration {
+	m := make(map[string]time.Duration, len(list))
+	for _, a := range list {
+		m[a.ID] = a.At
+	}
+	return m
+}
+
+// ageing makes a snapshot that of this moment, and logs what of it is not used.
+func (n *node) ageing(s *state.Snapshot) {
+	for _, d := range s.Age(state.Reader{Now: n.core.Now(), Fleet: n.fleet(), ColdFor: n.set.Load().Policy.ColdFor}) {
+		n.log.Warn("a part of the state is not used", "part", d.Field, "why", d.Why)
+	}
+}
+
+// enter takes up a snapshot that is of this moment: the list, orders by hand, what was learnt, and the other process's requests
+// where it is one. Orders and list take the place of what was known before. The core's lock is held.
+func (n *node) enter(s *state.Snapshot, from handover.Peer) {
+	n.hand.disabled = map[string]bool{}
+	for _, id := range s.Out {
+		n.hand.disabled[id] = true
+	}
+	n.hand.returned = byID(s.Returned)
+	if s.Drained {
+		n.life.enter(drained)
+	}
+	l := list{Version: s.Version, Full: true}
+	for _, v := range s.Servers {
+		l.Servers = append(l.Servers, listed{ID: v.ID, Addr: v.Addr, Zone: v.Zone, Kind: v.Kind, Cell: v.Cell, State: v.State, StartedMS: v.Started})
+	}
+	if len(l.Servers) > 0 {
+		n.disc.whole = s.Fleet != n.fleet() // its versions are not this discovery's
+		n.takeList(&l, policy.ListCached)
+	}
+	n.adopt(s, from)
+}
+
+// adopt takes up what changes with each request: what was learnt, budgets, keys, and ids that are open at the other process.
+// The core's lock is held.
+func (n *node) adopt(s *state.Snapshot, from handover.Peer) {
+	learnt := &policy.Learnt{Totals: s.Totals, Classes: map[string]policy.ClassSums{}}
+	for _, c := range s.Classes {
+		learnt.Classes[c.Name] = c.Sums
+	}
+	for _, v := range s.Servers {
+		// One that has started anew since is not what was learnt of. The policy holds the start against its own.
+		if b := n.names[v.ID]; b != nil && v.Known != nil && b.started == v.Started && b.Addr == v.Addr {
+			launched := max(time.Duration(min(v.Started, lastStart))*time.Millisecond, n.hand.returned[v.ID])
+			learnt.Servers = append(learnt.Servers, policy.Known{ID: b.number, Launched: launched.Seconds(), Evidence: v.Known.Policy()})
+		}
+	}
+	n.core.Adopt(learnt)
+	n.core.Resume(s.Contracts, s.Exact)
+	if n.cells != nil {
+		var keys []cell.Kept
+		for _, k := range s.Keys {
+			keys = append(keys, cell.Kept(k))
+		}
+		n.cells.Keys().Restore(n.core.Now(), keys)
+	}
+	if from != 0 {
+		n.core.Ids().Hold(from, byID(s.Open), byID(s.Hearsay))
+	}
+}
--- a/internal/node/tunnel.go
+++ b/internal/node/tunnel.go
@@ -39,7 +39,7 @@
 	n.core.Go(func() {
 		select {
 		case <-ctx.Done():
-		case <-n.pair.succeeded:
+		case <-n.pair.relieved:
 			cancel()
 		}
 	})
