A node's state is kept on a disk that lasts, and `portstall state` shows and checks it

Need: after a crash everything but the last list was gone: orders by hand, debts of contracts, what was learnt.

`state: {dir, every, fleet}` in the product's file switches it on; off on the platform. Orders by hand are written at once, waited for 0.3 s at most. A start takes it up behind the list that its configuration has, and sets gates anew: servers that were listed before the orders came kept theirs open.

--- a/cmd/portstall/main.go
+++ b/cmd/portstall/main.go
@@ -31,6 +31,7 @@
 	Lab     labCmd     `cmd:"" help:"Play scenarios: the fleet model in virtual time, or the rig on real sockets."`
 	Config  configCmd  `cmd:"" help:"Look at configuration files."`
 	Keys    keysCmd    `cmd:"" help:"Make, show and roll the keys by which instances know each other."`
+	State   stateCmd   `cmd:"" help:"Look at what a node keeps on a disk for its next start."`
 	Members membersCmd `cmd:"" help:"Show whom a node holds for a member, how they stand and why."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -32,6 +32,7 @@
 	Cells     *Cells     `yaml:"cells"`
 	Health    *Health    `yaml:"health"`
 	Members   *Members   `yaml:"members"`
+	State     *State     `yaml:"state"`
 
 	lined, marked bool // its text ends with the end of a line, and with YAML's mark for the end of a document
 }
@@ -39,11 +40,11 @@
 // Replaces tells whether the file can take the place of one in force. A part of a YAML file is often a file as well, of which
 // the rest is missing: one that is being written, or was cut off, must not take contracts away.
 func (f *File) Replaces(old *File) error {
-	parts := func(f *File) [7]bool {
-		return [...]bool{f.Services != nil, f.Contracts != nil, f.Parts != "", f.Tunnels != nil, f.Cells != nil, f.Health != nil, f.Members != nil}
+	parts := func(f *File) [8]bool {
+		return [...]bool{f.Services != nil, f.Contracts != nil, f.Parts != "", f.Tunnels != nil, f.Cells != nil, f.Health != nil, f.Members != nil, f.State != nil}
 	}
 	switch {
-	case parts(f) == [7]bool{} && parts(old) != [7]bool{}:
+	case parts(f) == [8]bool{} && parts(old) != [8]bool{}:
 		return errors.New("nothing is in it")
 	case old.lined && !f.lined:
 		return errors.New("its last line has no end: it is not whole")
@@ -396,6 +397,11 @@
 			return err
 		}
 	}
+	if f.State != nil {
+		if _, err := f.State.Ready(); err != nil {
+			return err
+		}
+	}
 	if f.Members != nil {
 		if _, err := f.Members.settings(); err != nil {
 			return err
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -105,6 +105,8 @@
 		{"health: {answer: {grpc: nowhere}}\n", "health.answer.grpc: \"nowhere\""},
 		{"members: {name: a, listen: x}\n", "members.listen"},
 		{"members: {name: a, listen: 127.0.0.1:1, seeds: [x]}\n", "members.seeds[0]"},
+		{"state: {dir: here}\n", "state.dir: \"here\" is no absolute path"},
+		{"state: {dir: /x, every: 1ms}\n", "state.every: 1ms is outside"},
 		{"members: {name: a, listen: 127.0.0.1:1, bytes: 5}\n", "members.bytes: 5"},
 		{"members: {name: a, listen: 127.0.0.1:1}\n", "members.name: \"a\" is none"},
 		{"members: {name: a, listen: 127.0.0.1:1, of: [{name: a}]}\n", "members.key: missing"},
--- a/internal/node/hand.go
+++ b/internal/node/hand.go
@@ -36,6 +36,7 @@
 		return mgmt.ErrUnknown
 	}
 	n.setDisabled(o)
+	n.saved()
 	return n.pair.tell(ctx, nil, o)
 }
 
--- /dev/null
+++ b/internal/node/keep.go
@@ -0,0 +1,86 @@
+package node
+
+import (
+	"errors"
+	"time"
+
+	"portstall/internal/config"
+	"portstall/internal/state"
+	"portstall/internal/state/disk"
+)
+
+// savedTime is how long an operator's call waits for the disk to have it. It counts without that, too.
+const savedTime = 300 * time.Millisecond
+
+// keeping is the node's state on a disk that lasts. Its owner is the pair: whoever serves writes.
+type keeping struct {
+	set    config.State
+	dir    *disk.Dir
+	keeper *disk.Keeper
+}
+
+// recall reads what an earlier process of this node has kept; nil: nothing that can be used.
+func (n *node) recall(set config.State) *state.Snapshot {
+	s, _, wrong := disk.Read(set.Dir)
+	for _, err := range wrong {
+		n.log.Error("a kept state is not used", "err", err)
+	}
+	if s == nil {
+		n.log.Info("starting without a kept state", "dir", set.Dir)
+		return nil
+	}
+	n.log.Info("starting with a kept state", "dir", set.Dir, "age", (n.core.Now() - s.Taken).Round(time.Millisecond), "web servers", len(s.Servers),
+		"out by hand", len(s.Out))
+	s.Exact = false // it was cut off at some moment
+	return s
+}
+
+// begin keeps the state from now on: this process serves. Another one that writes there is told of and left alone.
+func (k *keeping) begin(n *node) {
+	if k == nil || k.dir != nil {
+		return
+	}
+	var err error
+	if k.dir, err = disk.Open(k.set.Dir); err != nil {
+		n.log.Error("the state is not kept", "err", err)
+		return
+	}
+	k.keeper = disk.Keep(k.dir, k.set.Every, func() ([]byte, error) {
+		n.core.Lock()
+		s := n.snapshot(false)
+		n.core.Unlock()
+		return state.Encode(s)
+	}, func(err error) {
+		if err != nil {
+			n.log.Error("the state can't be kept", "err", err)
+		} else {
+			n.log.Info("the state is kept again")
+		}
+	})
+}
+
+// end keeps it once more and leaves the directory to whoever serves next.
+func (k *keeping) end() {
+	if k == nil || k.dir == nil {
+		return
+	}
+	k.keeper.Stop()
+	k.dir.Close()
+	k.dir, k.keeper = nil, nil
+}
+
+// saved keeps the state at once: operators have said something.
+func (n *node) saved() {
+	n.pair.mu.Lock()
+	var keeper *disk.Keeper
+	if n.pair.kept != nil {
+		keeper = n.pair.kept.keeper
+	}
+	n.pair.mu.Unlock()
+	if keeper == nil {
+		return
+	}
+	if err := keeper.Now(savedTime); err != nil {
+		n.log.Warn("the call is carried out; it is not sure that the disk has it", "err", errors.Unwrap(err))
+	}
+}
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -81,6 +81,7 @@
 // Drain sends the clients away. What was taken is answered.
 func (n *node) Drain(ctx context.Context) error {
 	n.drain()
+	n.saved()
 	return n.pair.tell(ctx, nil, upgrade.Order{Call: upgrade.Drain})
 }
 
@@ -103,6 +104,7 @@
 		return errLeaving
 	}
 	n.resume()
+	n.saved()
 	return n.pair.tell(ctx, nil, upgrade.Order{Call: upgrade.Resume})
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 	"portstall/internal/member"
 	"portstall/internal/message"
 	"portstall/internal/mgmt"
+	"portstall/internal/state"
 	"portstall/policy"
 )
 
@@ -202,6 +203,14 @@
 	n.clients = fronthttp.New(fronthttp.Options{Core: n.core, Budget: n.budget, Limit: cfg.clientLimit(), Away: n.life.sendsAway,
 		Ready: n.readiness, Fits: func(r *http.Request) error { return n.set.Load().fits(r) }, Slack: cfg.slack})
 	n.pair.begin(n)
+	if cfg.Product != nil && cfg.Product.State != nil {
+		set, err := cfg.Product.State.Ready()
+		if err != nil {
+			n.core.Close()
+			return nil, nil, err
+		}
+		n.pair.kept = &keeping{set: set}
+	}
 	n.limits(1)
 	n.disc = newDiscovery(n, cfg.Discovery)
 	if cfg.Product != nil && cfg.Product.Health != nil {
@@ -216,7 +225,15 @@
 	if old != nil {
 		n.predecessor(old)
 	} else {
+		var s *state.Snapshot
+		if n.pair.kept != nil {
+			s = n.recall(n.pair.kept.set)
+		}
 		n.takeList(&cfg.Known, policy.ListCached)
+		if s != nil {
+			n.ageing(s)
+			n.awake(s)
+		}
 	}
 	if !cfg.Settings.Policy.MustAsk {
 		n.disc.watch() // the policy asks only where lists are not pushed
--- a/internal/node/pair.go
+++ b/internal/node/pair.go
@@ -52,7 +52,8 @@
 	last     handover.Peer
 	token    *upgrade.Token // nil: none is needed, or it can't be had
 	listener *upgrade.Listener
-	back     func() // takes back what was lent of the bodies' bytes; nil where the limits are not shared
+	kept     *keeping // nil: nothing is kept on a disk
+	back     func()   // takes back what was lent of the bodies' bytes; nil where the limits are not shared
 	over     bool
 }
 
@@ -245,6 +246,11 @@
 func (p *pair) Accept(on bool) {
 	p.door.set(on)
 	defer p.up.Store(on) // behind it successors find this process
+	if on {
+		p.kept.begin(p.node)
+	} else {
+		p.kept.end()
+	}
 	if !on || p.listener != nil {
 		return
 	}
@@ -463,6 +469,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.over = true
+	p.kept.end()
 	if p.listener != nil {
 		p.listener.Close()
 	}
--- a/internal/node/snapshot.go
+++ b/internal/node/snapshot.go
@@ -49,7 +49,12 @@
 }
 
 // fleet names what the list is of.
-func (n *node) fleet() string { return n.disc.addr }
+func (n *node) fleet() string {
+	if k := n.pair.kept; k != nil && k.set.Fleet != "" {
+		return k.set.Fleet
+	}
+	return n.disc.addr
+}
 
 func ats(m map[string]time.Duration) []state.At {
 	list := make([]state.At, 0, len(m))
@@ -93,9 +98,41 @@
 		n.disc.whole = s.Fleet != n.fleet() // its versions are not this discovery's
 		n.takeList(&l, policy.ListCached)
 	}
+	for _, b := range n.names { // those that were listed before keep their gates; nothing is being written yet
+		b.Gate.Set(n.keptOut(b.ID, b.number))
+	}
+	n.hand.listed(n, n.core.Now())
 	n.adopt(s, from)
 }
 
+// awake takes up what an earlier process kept, behind the list that the configuration has; of the two lists the newer one counts.
+// No other process of the node is there, and nothing is open. The core's lock is held.
+func (n *node) awake(s *state.Snapshot) {
+	if s.Version <= n.version {
+		s.Servers, s.Version = n.knownOf(s.Servers), n.version
+	}
+	s.Open, s.Hearsay = nil, nil
+	n.enter(s, 0)
+}
+
+// knownOf is the list as this process has it, with what a state knows of its servers. The core's lock is held.
+func (n *node) knownOf(old []state.Server) []state.Server {
+	learnt := map[string]*state.Server{}
+	for i := range old {
+		learnt[old[i].ID] = &old[i]
+	}
+	var all []state.Server
+	for _, b := range n.names {
+		e := &b.entry
+		v := state.Server{ID: b.ID, Addr: b.Addr, Zone: e.Zone, Kind: e.Kind, Cell: e.Cell, State: e.State, Started: e.StartedMS}
+		if o := learnt[b.ID]; o != nil && o.Started == v.Started && o.Addr == v.Addr {
+			v.Known = o.Known
+		}
+		all = append(all, v)
+	}
+	return all
+}
+
 // adopt takes up what changes with each request: what was learnt, budgets, keys, and ids that are open at the other process.
 // The core's lock is held.
 func (n *node) adopt(s *state.Snapshot, from handover.Peer) {
--- a/internal/state/codec.go
+++ b/internal/state/codec.go
@@ -61,14 +61,18 @@
 	if len(text) > MostLen {
 		return nil, fmt.Errorf("state: %d bytes are more than %d", len(text), MostLen)
 	}
-	rest := text[header:]
 	copy(text, magic)
 	binary.LittleEndian.PutUint16(text[len(magic):], Version)
-	binary.LittleEndian.PutUint32(text[len(magic)+2:], uint32(len(rest)))
-	binary.LittleEndian.PutUint64(text[len(magic)+6:], xxhash.Sum64(rest))
+	seal(text)
 	return text, nil
 }
 
+// seal writes the length and the sum of what is behind the header.
+func seal(text []byte) {
+	binary.LittleEndian.PutUint32(text[len(magic)+2:], uint32(len(text)-header))
+	binary.LittleEndian.PutUint64(text[len(magic)+6:], xxhash.Sum64(text[header:]))
+}
+
 // Decode reads a snapshot, and checks all that does not depend on when and by whom it is read. An error is ErrForm, ErrVersion,
 // ErrCut or ErrSum, or tells which value makes no sense; nothing of it is to be used then.
 func Decode(text []byte) (*Snapshot, error) {
