--- a/internal/lab/model/fault.go
+++ b/internal/lab/model/fault.go
@@ -44,12 +44,18 @@
 		}
 		for k, index := range w.hits[i] {
 			at := f.At + time.Duration(k)*f.For/time.Duration(len(w.hits[i]))
-			w.bounce(w.nodes[index], at, f.Delay)
+			w.bounce(w.nodes[index], at, f.Delay, true)
+		}
+	case "node_upgrade":
+		for k, index := range w.hits[i] {
+			if begin {
+				w.at(f.At+time.Duration(k)*f.For/time.Duration(len(w.hits[i])), event{kind: evUpgrade, a: int32(index)})
+			}
 		}
 	case "node_crash":
 		if begin {
 			for _, index := range w.hits[i] {
-				w.bounce(w.nodes[index], w.now, f.For)
+				w.bounce(w.nodes[index], w.now, f.For, false)
 			}
 		}
 	case "node_stop":
@@ -86,9 +92,12 @@
 }
 
 // bounce kills a node and brings it back. The front notices the one and the other late.
-func (w *world) bounce(n *node, at, gone time.Duration) {
-	k := int32(n.index)
-	w.at(at, event{kind: evNodeDown, a: k, until: at + gone})
+func (w *world) bounce(n *node, at, gone time.Duration, planned bool) {
+	k, b := int32(n.index), int32(0)
+	if planned {
+		b = 1
+	}
+	w.at(at, event{kind: evNodeDown, a: k, b: b, until: at + gone})
 	w.at(at+gone, event{kind: evNodeUp, a: k})
 }
 
--- a/internal/lab/model/model.go
+++ b/internal/lab/model/model.go
@@ -83,13 +83,15 @@
 	evSaid    // and hears what was said, or that nothing was
 	evWeigh   // it works out anew what to make of all
 	evTake    // a request reaches its node
+	evKeep    // a node's state is written down
+	evUpgrade // a successor takes over from a node
 	evAsk     // a client's first try
 	kinds
 )
 
 // rank is the order of the sorts of events at the same instant.
 var rank = [kinds]uint8{evFault: 0, evBack: 0, evNodeDown: 0, evNodeUp: 0, evPublish: 1, evCall: 1, evLost: 1, evNews: 1,
-	evReach: 2, evServe: 2, evDrop: 2, evProbe: 2, evOutcome: 3, evTimeout: 3, evTimer: 3, evProbed: 3, evStood: 3, evCut: 3, evCheck: 3, evSaid: 3, evWeigh: 3, evLeave: 4, evOverdue: 4,
+	evReach: 2, evServe: 2, evDrop: 2, evProbe: 2, evOutcome: 3, evTimeout: 3, evTimer: 3, evProbed: 3, evStood: 3, evCut: 3, evCheck: 3, evSaid: 3, evWeigh: 3, evKeep: 3, evUpgrade: 0, evLeave: 4, evOverdue: 4,
 	evTry: 5, evTake: 5, evAsk: 5}
 
 type event struct {
@@ -115,6 +117,7 @@
 	ask      *ask
 	id       string
 	node     *node
+	d        Decider // that has it: one that was replaced finishes what it took
 	life     int32
 	sent     time.Duration // by the client
 	until    time.Duration // when its answer must be ready at the node
@@ -334,7 +337,14 @@
 	switch e.kind {
 	case evFault:
 		w.fault(int(e.a), e.b == 1)
+	case evKeep:
+		w.keep(w.nodes[e.a], e.gen)
+	case evUpgrade:
+		w.upgrade(w.nodes[e.a])
 	case evNodeDown:
+		if e.b == 1 { // planned: it writes down what it knows as its last
+			w.write(w.nodes[e.a])
+		}
 		w.kill(w.nodes[e.a], e.until)
 	case evNodeUp:
 		if n := w.nodes[e.a]; !n.up && w.now >= n.until {
@@ -473,7 +483,7 @@
 	t.answered = true
 	w.book.Left(w.now, n.index, t.id)
 	if w.now >= n.stopped {
-		w.handle(n, &policy.Event{Kind: policy.EvGone, ID: t.id})
+		w.decide(n, t.d, &policy.Event{Kind: policy.EvGone, ID: t.id})
 	}
 	n.forget(t)
 	w.settle(t, measure.Left, "client left early", 0, 0)
@@ -488,7 +498,7 @@
 	t.answered = true
 	w.book.Overdue(w.now, n.index, t.id)
 	if w.now >= n.stopped && n.tries[t.id] != nil {
-		w.handle(n, &policy.Event{Kind: policy.EvGone, ID: t.id})
+		w.decide(n, t.d, &policy.Event{Kind: policy.EvGone, ID: t.id})
 	}
 	n.forget(t)
 	w.settle(t, measure.Overdue, "no answer in time", 0, 0)
--- a/internal/lab/model/node.go
+++ b/internal/lab/model/node.go
@@ -31,6 +31,7 @@
 	known   []policy.Entry    // by server's index: the list as it holds it
 	version int               // of that list
 	watches bool
+	kept    []byte // its state as it was last written down; nil: never, or nothing is kept
 }
 
 // start brings a node up, with its list as it last held it.
@@ -63,6 +64,7 @@
 		}
 	}
 	w.handle(n, &policy.Event{Kind: policy.EvList, List: policy.ListCached, Entries: list})
+	w.awake(n)
 	if w.s.Roster.Push {
 		n.watches = true
 		w.at(w.now, event{kind: evNews, a: int32(n.index), gen: n.life})
@@ -236,7 +238,10 @@
 
 // offer hands a request to the policy, for some servers or (nil) all.
 func (w *world) offer(t *try, among []uint32, borrowed bool) {
-	w.handle(t.node, &policy.Event{Kind: policy.EvRequest, ID: t.id, Class: w.s.Classes[t.ask.Class].Name, Tenant: w.tenant(t),
+	if t.d == nil {
+		t.d = t.node.d
+	}
+	w.decide(t.node, t.d, &policy.Event{Kind: policy.EvRequest, ID: t.id, Class: w.s.Classes[t.ask.Class].Name, Tenant: w.tenant(t),
 		Left: max(0, t.until-w.now), Repeat: t.ask.tries > 1, Borrowed: borrowed, Among: among})
 }
 
@@ -283,9 +288,12 @@
 	}
 }
 
-// handle hands an event to the policy and carries out what it wants, in its order.
-func (w *world) handle(n *node, ev *policy.Event) {
-	acts := n.d.Handle(epoch+w.now, ev, w.actions[:0])
+// handle hands an event to a node's policy.
+func (w *world) handle(n *node, ev *policy.Event) { w.decide(n, n.d, ev) }
+
+// decide hands an event to a policy at a node and carries out what that wants, in its order.
+func (w *world) decide(n *node, d Decider, ev *policy.Event) {
+	acts := d.Handle(epoch+w.now, ev, w.actions[:0])
 	w.actions = nil // an action can lead to another event at the same node
 	for i := range acts {
 		a := &acts[i]
@@ -402,7 +410,7 @@
 	} else {
 		ev.Load = policy.Load{Queue: -1, Held: -1}
 	}
-	w.handle(n, &ev)
+	w.decide(n, t.d, &ev)
 	if served {
 		w.settle(t, measure.Served, "", w.delay(w.s.Network.Client), 0)
 	}
--- a/internal/lab/scenario/draw.go
+++ b/internal/lab/scenario/draw.go
@@ -56,7 +56,7 @@
 		f := &s.Faults[i]
 		var hit []int
 		switch f.Kind {
-		case "node_roll", "node_crash", "node_stop":
+		case "node_roll", "node_crash", "node_upgrade", "node_stop":
 			hit = s.Hit(i, s.Nodes, f.Share)
 		case "zone_loss":
 			for k := range fleet {
--- a/internal/lab/scenario/fault.go
+++ b/internal/lab/scenario/fault.go
@@ -55,6 +55,7 @@
 	"roster_down":    {About: "the roster answers nothing and ends its watches", Rig: true},
 	"node_roll":      {About: "nodes are restarted one after the other over the fault's length; each is gone for the delay", Share: true, Delay: true, Rig: true},
 	"node_crash":     {About: "nodes are killed and come back after the fault's length with their last list", Share: true, Rig: true},
+	"node_upgrade":   {About: "nodes are replaced by a successor while they serve, one after the other over the fault's length", Share: true},
 	"node_stop":      {About: "nodes are stopped (SIGSTOP) and go on after the fault's length", Share: true, Rig: true},
 	"shared_slow":    {About: "every server is slower by the factor", Factor: true, Rig: true},
 	"cut":            {About: "a share of the nodes does not reach a share of the servers; nothing is reset", Share: true, Nodes: true},
@@ -69,13 +70,13 @@
 	"zone_loss":      {About: "all servers of one zone go silent; they come back cold", Rig: true},
 }
 
-// Draw gives a scenario the faults that a seed stands for: a few of any kind but the loss of a zone, which may overlap. The same scenario and
+// Draw gives a scenario the faults that a seed stands for: a few of any kind but the loss of a zone, a poison and an upgrade, which may overlap. The same scenario and
 // seed give the same faults.
 func Draw(s Scenario, seed uint64) Scenario {
 	rng := rand.New(rand.NewPCG(seed, 0x64726177))
 	span := s.Duration - s.Warmup
 	kinds := slices.DeleteFunc(KindNames(), func(kind string) bool {
-		return kind == "zone_loss" || kind == "poison" || ofChecks(kind) && (s.Health == nil || s.Health.Checks == nil) || ofProxies(kind) && s.Servers.Via == ""
+		return kind == "zone_loss" || kind == "poison" || kind == "node_upgrade" || ofChecks(kind) && (s.Health == nil || s.Health.Checks == nil) || ofProxies(kind) && s.Servers.Via == ""
 	}) // it may be the only zone, and a poison wants its tenant
 	s.Seed, s.Faults = seed, nil
 	for range 2 + rng.IntN(4) {
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -31,6 +31,7 @@
 	Rules    Rules         `yaml:"rules"`
 	Cells    Cells         `yaml:"cells"`
 	Faults   []Fault       `yaml:"faults"`
+	Forgets  bool          `yaml:"forgets"` // successors begin with nothing that was learnt, for comparison; in the model only
 
 	config.File `yaml:",inline"` // what the nodes' own file says: services and contracts
 }
