A cold server takes what nobody else does, bounded by what is in flight there

Need: with servers out by hand and back cold during a release, requests were refused while cold servers had room: beside a fixed dare each of a few nodes had one attempt at an idle cold server at most.

Change: of up to four nodes each may have its part of (FallFactor - 1)/2 x capacity x FallFor in flight there, where no other server takes the request: it is sent as fast as it answers, and that much at first, which leaves half of what the fourth rule allows beyond its capacity.

--- a/internal/node/pair.go
+++ b/internal/node/pair.go
@@ -394,6 +394,9 @@
 		p.mu.Unlock()
 	}
 	p.do(func(m *handover.Machine, env handover.Env) { m.Heard(env, p.known(peer), what, number) })
+	if what == handover.Later && p.at() == handover.Seeking {
+		peer.Close() // whoever is found next is dialed anew: two ways to one process would let orders go round
+	}
 }
 
 func (n *node) Claim(peer *upgrade.Peer, id string, until time.Duration) handover.Verdict {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -572,9 +572,10 @@
 			if (n <= wide || i < sample) && b.rng.Float64() < s.chance*ramp*b.set.FallFactor*coldPart/part {
 				return s
 			}
-			// It may also take what nobody else does while it has nothing: with one attempt of each of a few
-			// nodes in flight it is sent only as fast as it answers, however cold it is.
-			idle := s.own == 0 && s.Mode == normal && occupancy < 1
+			// It may also take what nobody else does: with so many in flight, of a few nodes together, it is sent only as fast
+			// as it answers and so many at first, half of what the rule leaves beyond its capacity.
+			flight := max(1, (b.set.FallFactor-1)/2*ramp*b.set.FallFor.Seconds()/s.typical)
+			idle := s.Mode == normal && s.own < max(1, flight/float64(b.set.Nodes)) && occupancy < flight
 			if idle && b.set.Nodes <= fewNodes && (spare == nil || b.rng.Float64() < 0.5) {
 				spare = s
 			}
