Between processes one search at a time, and an order that comes by two ways counts once

Two connections between the same processes would let an operator's order go round without end, and a process that is slow to answer was asked anew every 50 ms.

Change: an order bears a number of its own, and each process notes the latest 64; a search that is under way is not begun again.

--- a/internal/node/pair.go
+++ b/internal/node/pair.go
@@ -5,9 +5,11 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -38,6 +40,7 @@
 	node  *node
 	up    atomic.Bool // this process takes clients
 	phase atomic.Int32
+	seeks atomic.Bool   // somebody is looked for
 	turn  chan struct{} // the phase has changed; holds one
 	// relieved is closed when a successor first serves: tunnels' listeners, which only one process can have, are given up then,
 	// and not opened again where the successor ends.
@@ -52,8 +55,10 @@
 	last     handover.Peer
 	token    *upgrade.Token // nil: none is needed, or it can't be had
 	listener *upgrade.Listener
-	kept     *keeping // nil: nothing is kept on a disk
-	back     func()   // takes back what was lent of the bodies' bytes; nil where the limits are not shared
+	kept     *keeping   // nil: nothing is kept on a disk
+	orders   [64]uint64 // numbers of the latest orders
+	ordered  int
+	back     func() // takes back what was lent of the bodies' bytes; nil where the limits are not shared
 	over     bool
 }
 
@@ -319,10 +324,15 @@
 	}
 }
 
-func (p *pair) Seek() { go p.seek() }
+func (p *pair) Seek() {
+	if p.seeks.CompareAndSwap(false, true) { // one at a time: a process that is slow to answer is not asked by more and more
+		go p.seek()
+	}
+}
 
 // seek looks who is there.
 func (p *pair) seek() {
+	defer p.seeks.Store(false)
 	old, later := find(socketPath(p.node.cfg), p.node.log)
 	if old == nil {
 		if !later {
@@ -414,6 +424,9 @@
 
 // Obey does what an operator told another process, and passes it on to whom that one may not know.
 func (n *node) Obey(from *upgrade.Peer, o upgrade.Order) error {
+	if !n.pair.fresh(o) {
+		return nil // it has come by another way
+	}
 	switch o.Call {
 	case upgrade.Disable, upgrade.Enable:
 		n.setDisabled(o) // known there: that counts
@@ -429,6 +442,18 @@
 	return n.pair.tell(ctx, from, o)
 }
 
+// fresh tells whether an order was not seen before, and notes it: between three processes one can come by two ways.
+func (p *pair) fresh(o upgrade.Order) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if o.From == 0 || slices.Contains(p.orders[:], o.From) {
+		return o.From == 0
+	}
+	p.orders[p.ordered%len(p.orders)] = o.From
+	p.ordered++
+	return true
+}
+
 // Gone notes that another process is gone. With the last of them it takes back the whole of the limits.
 func (n *node) Gone(peer *upgrade.Peer) {
 	p := &n.pair
@@ -486,6 +511,10 @@
 
 // tell passes an operator's call to the other processes, but for the one that it came from.
 func (p *pair) tell(ctx context.Context, from *upgrade.Peer, o upgrade.Order) error {
+	if o.From == 0 { // said here
+		o.From = rand.Uint64()
+		p.fresh(o)
+	}
 	p.mu.Lock()
 	var peers []*upgrade.Peer
 	for _, peer := range p.peers {
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -42,7 +42,8 @@
 type Order struct {
 	Call Call   `json:"call"`
 	ID   string `json:"id,omitempty"`
-	At   int64  `json:"at,omitempty"` // Unix nanoseconds of the call
+	At   int64  `json:"at,omitempty"`   // Unix nanoseconds of the call
+	From uint64 `json:"from,omitempty"` // a number of the call's own, given where operators said it
 }
 
 // Node is what a process lets others do. But for Obey, whose calls come one after the other, nothing may wait for another
