--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -258,7 +258,8 @@
 			b = &backend{number: old.number, started: s.StartedMS, Server: &back.Server{ID: s.ID, Addr: s.Addr, Via: old.Via, Gate: old.Gate, Now: n.core.Now}}
 			n.pool.Clear(old.Server, true)
 		}
-		b.entry = *s
+		entry := *s
+		b.entry = &entry
 		n.enlist(b)
 		e.ID = b.number
 		entries = append(entries, e)
--- a/internal/node/keep.go
+++ b/internal/node/keep.go
@@ -49,7 +49,7 @@
 		n.core.Lock()
 		s := n.snapshot(false)
 		n.core.Unlock()
-		return state.Encode(s)
+		return state.Encode(s())
 	}, func(err error) {
 		if err != nil {
 			n.log.Error("the state can't be kept", "err", err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,8 +76,8 @@
 	*back.Server
 	number  uint32 // the policy's name for it
 	started int64
-	entry   listed // as discovery last told it
-	left    bool   // off the list
+	entry   *listed // as discovery last told it; replaced, never changed
+	left    bool    // off the list
 }
 
 // clock tells Unix time that runs on evenly when the system's clock is set.
--- a/internal/node/pair.go
+++ b/internal/node/pair.go
@@ -314,9 +314,9 @@
 }
 
 // encoded is a snapshot as text, once it is asked for.
-func (n *node) encoded(s *state.Snapshot) func() []byte {
+func (n *node) encoded(s func() *state.Snapshot) func() []byte {
 	return func() []byte {
-		text, err := state.Encode(s)
+		text, err := state.Encode(s())
 		if err != nil {
 			n.log.Error("the state can't be handed over", "err", err)
 		}
--- a/internal/node/snapshot.go
+++ b/internal/node/snapshot.go
@@ -11,41 +11,54 @@
 	"portstall/policy"
 )
 
-// snapshot is the node's state now. Exact: for a successor, to which it is all that has happened. The core's lock is held; what
-// it holds is copied, so that it is written down without the lock.
-func (n *node) snapshot(exact bool) *state.Snapshot {
+// snapshot copies the node's state. The core's lock is held; what is returned makes a snapshot of the copy, and is to be called
+// without it: with 10,000 web servers that takes longer than all requests may wait. Exact: for a successor, to which it is all
+// that has happened.
+func (n *node) snapshot(exact bool) func() *state.Snapshot {
 	now := n.core.Now()
 	s := &state.Snapshot{Taken: now, Fleet: n.fleet(), Exact: exact, Drained: n.life.forHeir(), Version: n.version,
-		Servers: make([]state.Server, 0, len(n.names)), Out: slices.Collect(maps.Keys(n.hand.disabled)),
-		Returned: ats(n.hand.returned), Open: ats(n.core.Open()), Hearsay: ats(n.core.Ids().Theirs(now)), Contracts: n.core.Left()}
-	learnt := n.core.Learnt()
-	known := make([]int, n.nextNum+1) // from 1 on, by number
-	for i := range learnt.Servers {
-		known[learnt.Servers[i].ID] = i + 1
-	}
-	evidence := make([]state.Evidence, len(learnt.Servers)) // in one piece: of 10,000 each by itself takes longer than all else
+		Out: slices.Collect(maps.Keys(n.hand.disabled)), Returned: ats(n.hand.returned), Contracts: n.core.Left()}
+	open, theirs, learnt := n.core.Open(), n.core.Ids().Theirs(now), n.core.Learnt()
+	type row struct {
+		entry  *listed
+		addr   string
+		number uint32
+	}
+	rows := make([]row, 0, len(n.names))
 	for _, b := range n.names {
-		if b.left {
-			continue
+		if !b.left {
+			rows = append(rows, row{b.entry, b.Addr, b.number})
 		}
-		e := &b.entry
-		v := state.Server{ID: b.ID, Addr: b.Addr, Zone: e.Zone, Kind: e.Kind, Cell: e.Cell, State: e.State, Started: e.StartedMS}
-		if i := known[b.number] - 1; i >= 0 {
-			evidence[i] = state.Evidence(learnt.Servers[i].Evidence)
-			v.Known = &evidence[i]
-		}
-		s.Servers = append(s.Servers, v)
-	}
-	for name, sums := range learnt.Classes {
-		s.Classes = append(s.Classes, state.Class{Name: name, Sums: sums})
 	}
-	s.Totals = learnt.Totals
+	last := n.nextNum
 	if n.cells != nil {
 		for _, k := range n.cells.Keys().All(now) {
 			s.Keys = append(s.Keys, state.Key(k))
 		}
 	}
-	return s
+	return func() *state.Snapshot {
+		s.Open, s.Hearsay, s.Totals = ats(open), ats(theirs), learnt.Totals
+		known := make([]int, last+1) // from 1 on, by number
+		for i := range learnt.Servers {
+			known[learnt.Servers[i].ID] = i + 1
+		}
+		for _, r := range rows {
+			v := r.entry.kept(r.addr)
+			if i := known[r.number] - 1; i >= 0 {
+				v.Known = state.Of(learnt.Servers[i].Evidence)
+			}
+			s.Servers = append(s.Servers, v)
+		}
+		for name, sums := range learnt.Classes {
+			s.Classes = append(s.Classes, state.Class{Name: name, Sums: sums})
+		}
+		return s
+	}
+}
+
+// kept is a line of the list as the state has it. Later lists may leave the address out.
+func (e *listed) kept(addr string) state.Server {
+	return state.Server{ID: e.ID, Addr: addr, Zone: e.Zone, Kind: e.Kind, Cell: e.Cell, State: e.State, Started: e.StartedMS}
 }
 
 // fleet names what the list is of.
@@ -123,8 +136,7 @@
 	}
 	var all []state.Server
 	for _, b := range n.names {
-		e := &b.entry
-		v := state.Server{ID: b.ID, Addr: b.Addr, Zone: e.Zone, Kind: e.Kind, Cell: e.Cell, State: e.State, Started: e.StartedMS}
+		v := b.entry.kept(b.Addr)
 		if o := learnt[b.ID]; o != nil && o.Started == v.Started && o.Addr == v.Addr {
 			v.Known = o.Known
 		}
