A process that was relieved and told to end does so when its successor ends first

Cause: with the order to end taken in, nobody read the phase any more; the successor's end made the process take the token back, and then it waited for a successor for ever.

Change: whoever was told to end ends once all that it took is answered. TestRelievedAndToldToEnd drives that order of events.

--- a/internal/node/harden_test.go
+++ b/internal/node/harden_test.go
@@ -414,6 +414,36 @@
 	}
 }
 
+// A process that was relieved and told to end does so, also when its successor ends before it has.
+func TestRelievedAndToldToEnd(t *testing.T) {
+	t.Parallel()
+	hold := make(chan bool)
+	a := newSlowBox(t, hold)
+	g := newRegistry(t)
+	old := newRig(t, g, settingsJSON, unhurried, a.entry("s-1"))
+	busy := old.dial(t)
+	busy.send(view("slow").text())
+	wait(t, "the request at the server", func() bool { return len(a.requests()) == 1 })
+	young := succeed(t, old.meet(t), g, settingsJSON)
+	wait(t, "relief", func() bool { return old.life.now() == relieved })
+	old.leave()
+	wait(t, "the order to end", func() bool { return old.life.now() == leaving })
+	young.leave()
+	young.exited <- <-young.exited
+	wait(t, "its notice", func() bool { return old.pair.at() == handover.Serves })
+	close(hold)
+	if resp, _ := busy.answer(); resp.StatusCode != http.StatusOK {
+		t.Errorf("what it had taken: %d", resp.StatusCode)
+	}
+	select {
+	case err := <-old.exited:
+		must(t, err)
+		old.exited <- err
+	case <-time.After(patience):
+		t.Error("it does not end")
+	}
+}
+
 // successor is the other end of a hand-over as a test wants it: it says what it is told to and no more.
 type successor struct {
 	heard chan handover.Message
--- a/internal/node/pair.go
+++ b/internal/node/pair.go
@@ -480,12 +480,12 @@
 	p.do(func(m *handover.Machine, env handover.Env) { m.Gone(env, who) })
 }
 
-// conclude tells whether this process may end: a successor is there to go on, or a third process serves and the one between has
-// ended; and no predecessor is left whose claims are answered here. Nothing changes any more if so.
+// conclude tells whether this process may end: it was told to, or a successor is there to go on, or a third process serves and the
+// one between has ended, and no predecessor is left whose claims are answered here. Nothing changes any more if so.
 func (p *pair) conclude() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.m.Phase != handover.Relieved || p.m.Before != 0 || p.m.Heir == 0 && !p.m.Settled() {
+	if !p.m.Ends && (p.m.Phase != handover.Relieved || p.m.Before != 0 || p.m.Heir == 0 && !p.m.Settled()) {
 		return false
 	}
 	p.over = true
