--- a/internal/contract/contract_test.go
+++ b/internal/contract/contract_test.go
@@ -470,7 +470,7 @@
 		t.Errorf("with even parts it hands out %g", got)
 	}
 	first, heir := NewLedger(tb, 0, 1), NewLedger(tb, 0, 1)
-	heir.Succeed()
+	heir.Empty(0)
 	if v := first.Admit(0, 0, "", 0, false); v.Rule != Kept {
 		t.Errorf("a fresh ledger says %q", v.Rule)
 	}
--- a/internal/contract/ledger.go
+++ b/internal/contract/ledger.go
@@ -118,10 +118,6 @@
 	return &Ledger{table: t, states: make([]*state, t.Len()), now: now, tickAt: now, even: part, part: part, sharedAt: now, fill: 1, portion: 1, allowed: math.Inf(1)}
 }
 
-// Succeed says that this node takes over from one whose budgets are not known: contracts that were not used yet begin with
-// empty ones, so that a hand-over gives nobody a second burst.
-func (l *Ledger) Succeed() { l.fill = 0 }
-
 // Left is what is left of a contract, for a process that goes on in this one's place.
 type Left struct {
 	Name                      string
@@ -144,7 +140,6 @@
 // Resume goes on from what another process had left. Without credit only debts count, as that process may have spent since
 // what it had left; and contracts that it does not name begin with nothing, so that none has a second burst.
 func (l *Ledger) Resume(now time.Duration, left []Left, credit bool) {
-	l.Succeed()
 	l.Empty(now)
 	for _, o := range left {
 		i := slices.IndexFunc(l.table.terms, func(c Terms) bool { return c.Name == o.Name })
@@ -164,7 +159,8 @@
 	}
 }
 
-// Empty takes all that is left unused: another process has it now.
+// Empty takes all that is left unused: another process has it now, or had. Contracts that were not used yet begin with nothing, so
+// that a hand-over gives nobody a second burst.
 func (l *Ledger) Empty(now time.Duration) {
 	l.fill = 0
 	for i, s := range l.states {
--- a/internal/lab/model/state.go
+++ b/internal/lab/model/state.go
@@ -63,17 +63,10 @@
 		return
 	}
 	s.Age(state.Reader{Now: epoch + w.now, Fleet: "lab", ColdFor: w.set.ColdFor})
-	l := &policy.Learnt{Totals: s.Totals, Classes: map[string]policy.ClassSums{}}
-	for _, c := range s.Classes {
-		l.Classes[c.Name] = c.Sums
-	}
-	for _, v := range s.Servers {
+	d.Adopt(epoch+w.now, s.Learnt(func(v *state.Server) (uint32, time.Duration, bool) {
 		id, _ := strconv.ParseUint(v.ID, 10, 32) // written above
-		if v.Known != nil {
-			l.Servers = append(l.Servers, policy.Known{ID: uint32(id), Launched: time.Duration(v.Started).Seconds(), Evidence: v.Known.Policy()})
-		}
-	}
-	d.Adopt(epoch+w.now, l)
+		return uint32(id), time.Duration(v.Started), true
+	}))
 	if n.ledger != nil {
 		n.ledger.Resume(w.now, s.Contracts, false)
 	}
--- a/internal/node/snapshot.go
+++ b/internal/node/snapshot.go
@@ -148,18 +148,14 @@
 // adopt takes up what changes with each request: what was learnt, budgets, keys, and ids that are open at the other process.
 // The core's lock is held.
 func (n *node) adopt(s *state.Snapshot, from handover.Peer) {
-	learnt := &policy.Learnt{Totals: s.Totals, Classes: map[string]policy.ClassSums{}}
-	for _, c := range s.Classes {
-		learnt.Classes[c.Name] = c.Sums
-	}
-	for _, v := range s.Servers {
-		// One that has started anew since is not what was learnt of. The policy holds the start against its own.
-		if b := n.names[v.ID]; b != nil && v.Known != nil && b.started == v.Started && b.Addr == v.Addr {
-			launched := max(time.Duration(min(v.Started, lastStart))*time.Millisecond, n.hand.returned[v.ID])
-			learnt.Servers = append(learnt.Servers, policy.Known{ID: b.number, Launched: launched.Seconds(), Evidence: v.Known.Policy()})
+	n.core.Adopt(s.Learnt(func(v *state.Server) (uint32, time.Duration, bool) {
+		b := n.names[v.ID]
+		if b == nil || b.started != v.Started || b.Addr != v.Addr {
+			return 0, 0, false
 		}
-	}
-	n.core.Adopt(learnt)
+		// The policy holds the start against its own.
+		return b.number, max(time.Duration(min(v.Started, lastStart))*time.Millisecond, n.hand.returned[v.ID]), true
+	}))
 	n.core.Resume(s.Contracts, s.Exact)
 	if n.cells != nil {
 		var keys []cell.Kept
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -62,8 +62,24 @@
 	return &v
 }
 
-// Policy is what was written, for the policy.
-func (e *Evidence) Policy() policy.Evidence { return policy.Evidence(*e) }
+// Learnt is what the policy is to adopt. Same names a server as the reader lists it, by the policy's number and with its start; false
+// for one that it does not list, or that has started anew since.
+func (s *Snapshot) Learnt(same func(*Server) (number uint32, launched time.Duration, ok bool)) *policy.Learnt {
+	l := &policy.Learnt{Totals: s.Totals, Classes: map[string]policy.ClassSums{}}
+	for _, c := range s.Classes {
+		l.Classes[c.Name] = c.Sums
+	}
+	for i := range s.Servers {
+		v := &s.Servers[i]
+		if v.Known == nil {
+			continue
+		}
+		if number, launched, ok := same(v); ok {
+			l.Servers = append(l.Servers, policy.Known{ID: number, Launched: launched.Seconds(), Evidence: policy.Evidence(*v.Known)})
+		}
+	}
+	return l
+}
 
 // Class is what is known of a class.
 type Class struct {
