A watch that fell silent is opened anew before what it missed counts as told

At fault: discovery.go, askWait + askOver and `if !push { d.lost() }` in loop.

Change: internal/node/watch.go says, pure, how long a call may take and when the next follows. A silent watch is opened anew at once, 0.4 s behind its wait, and goes on trying until what was missed is past its grace; only then the policy is told. Where lists are asked for each watch waits 8 to 24 s by chance: 300 nodes whose watches fell silent together ask over more time than discovery takes to hear each of them once (5 to 8 s by the sites). After SIGHUP the other discovery's list is owed likewise. Where lists are pushed a rest is a quarter of the grace at most (before: up to 3 s): what the agent has at its return counts at once. A connection to discovery that does not come up is given up after 1 s; a hung dial took the whole of a watch's time.

Tests (internal/node/watch_test.go): the rhythm in virtual time over both modes and graces of 0.5 and 1 s; silence after the call, the head and half a body, forced on real sockets with the policy's timers taken away. Each was seen to fail without its mend.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"portstall/internal/config"
+	"portstall/internal/core"
 	"portstall/internal/mgmt"
 	"portstall/internal/wire"
 )
@@ -35,6 +36,9 @@
 	process bool
 	meet    string        // in tests, the socket where processes of one node meet
 	slack   time.Duration // in tests, is added to what clients and web servers have for what is begun
+	clock   core.Clock    // in tests, the node's; nil: the system's
+	// watch is how tests set the times of a call to discovery: its wait and the limit on the whole.
+	watch func(wait, limit time.Duration) (time.Duration, time.Duration)
 }
 
 // What a file may tell at most: beyond it a figure is a mistake, and would overflow what is worked out from it.
@@ -48,6 +52,14 @@
 func (c *Config) clientLimit() int { return c.shared() / 2 }
 func (c *Config) poolLimit() int   { return c.shared() * 3 / 8 }
 
+// newClock is the clock of a node that starts now.
+func (c *Config) newClock() core.Clock {
+	if c.clock != nil {
+		return c.clock
+	}
+	return clock{time.Now()}
+}
+
 // bodyBytes is how much of the bodies of all requests and answers may be held at a time.
 func (c *Config) bodyBytes() int64 {
 	if c.MemoryMB == 0 {
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -1,16 +1,21 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"portstall/internal/back"
@@ -18,23 +23,17 @@
 )
 
 const (
-	pushWait  = 2 * time.Second         // how long a watch waits where it costs nothing: a silent agent is noticed soon
-	askWait   = 20 * time.Second        // and where each call is work for all nodes' discovery
-	pushOver  = 1500 * time.Millisecond // an answer that is later than the wait by this has failed
-	askOver   = 5 * time.Second         // where it may stand in line behind other nodes' calls
-	fetchWait = 5 * time.Second
 	watchRest = 50 * time.Millisecond // between watches that are answered at once; within 200 ms a watch goes on
-	backoff   = 100 * time.Millisecond
-	backoffTo = 2 * time.Second
 	maxList   = 16 << 20
 	lastStart = math.MaxInt64 / int64(time.Millisecond) // what is later than this would wrap around to long ago: warm
 )
 
 // list is discovery's answer.
 type list struct {
-	Version int64    `json:"version"`
-	Full    bool     `json:"full"`
-	Servers []listed `json:"servers"`
+	Version int64         `json:"version"`
+	Full    bool          `json:"full"`
+	Servers []listed      `json:"servers"`
+	came    time.Duration // when its first byte was there, on the node's clock: it was told before; 0: as it is handled
 }
 
 type listed struct {
@@ -55,12 +54,14 @@
 	ctx   context.Context // ends when this discovery is left; only under the core's lock
 	leave context.CancelFunc
 
-	watching bool // guarded by the core's lock
-	whole    bool // its whole list is still to be asked for: its versions tell nothing before; guarded by the core's lock
+	watching bool          // guarded by the core's lock
+	whole    bool          // its whole list is still to be asked for: its versions tell nothing before; guarded by the core's lock
+	told     time.Duration // what it has counts as told then, whether or not it was asked; 0: it is not said. Set before it is shared
 }
 
 func newDiscovery(n *node, addr string) *discovery {
-	d := &discovery{node: n, addr: addr, http: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
+	d := &discovery{node: n, addr: addr, http: &http.Client{Transport: &http.Transport{DisableCompression: true,
+		DialContext: (&net.Dialer{Timeout: dialWait}).DialContext}}}
 	d.ctx, d.leave = context.WithCancel(n.core.Context())
 	return d
 }
@@ -71,7 +72,7 @@
 	old := n.disc
 	old.leave()
 	n.disc = newDiscovery(n, addr)
-	n.disc.whole = true
+	n.disc.whole, n.disc.told = true, n.core.Now()+reloadTold
 	n.disc.watch()
 	old.http.CloseIdleConnections()
 }
@@ -85,27 +86,31 @@
 	d.node.core.Go(d.loop)
 }
 
-// loop watches until the discovery is left. Where lists are pushed it goes on after a failure; elsewhere a failure
-// is told to the policy, which says when to ask again.
+// loop watches until the discovery is left. Where lists are pushed, or a fresh one is owed, it goes on after a failure;
+// elsewhere a failure is told to the policy, which says when to ask again.
 func (d *discovery) loop() {
-	wait, over := askWait, askOver
-	push := !d.node.set.Load().Policy.MustAsk
-	if push {
-		wait, over = pushWait, pushOver
+	set := d.node.set.Load().Policy
+	r := &rhythm{push: !set.MustAsk, grace: set.DrainGrace}
+	if d.told > 0 {
+		r.owe(d.told)
 	}
-	pause := backoff
 	for d.ctx.Err() == nil {
 		begun := time.Now()
 		d.node.core.Lock()
 		since, whole := d.node.version, d.whole
 		d.node.core.Unlock()
-		query, limit := fmt.Sprintf("?since=%d&timeout_ms=%d", since, wait.Milliseconds()), wait+over
+		wait, limit := r.call(whole, rand.Float64())
+		if t := d.node.cfg.watch; t != nil {
+			wait, limit = t(wait, limit)
+		}
+		over := d.node.core.Now() + wait
+		query := fmt.Sprintf("?since=%d&timeout_ms=%d", since, wait.Milliseconds())
 		if whole {
-			query, limit = "", fetchWait
+			query = ""
 		}
 		l, err := d.call(query, limit)
 		if err == nil {
-			pause = backoff
+			r.answered()
 			kind := policy.ListDelta
 			if whole || l.Full {
 				kind = policy.ListFull
@@ -120,12 +125,12 @@
 			return
 		}
 		d.node.log.Warn("watching discovery failed", "err", err)
-		if !push {
+		rest, again := r.failed(d.node.core.Now(), over, errors.Is(err, errSilent), rand.Float64())
+		if !again {
 			d.lost()
 			return
 		}
-		sleep(d.ctx, time.Duration(float64(pause)*(0.5+rand.Float64())))
-		pause = min(2*pause, backoffTo)
+		sleep(d.ctx, rest)
 	}
 }
 
@@ -158,9 +163,19 @@
 	})
 }
 
-func (d *discovery) call(query string, limit time.Duration) (*list, error) {
+var errSilent = errors.New("no answer in time")
+
+// call asks once. What was not there whole within the limit is errSilent.
+func (d *discovery) call(query string, limit time.Duration) (l *list, err error) {
 	ctx, cancel := context.WithTimeout(d.ctx, limit)
-	defer cancel()
+	defer func() {
+		if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			err = fmt.Errorf("%w: %w", errSilent, err)
+		}
+		cancel()
+	}()
+	var came atomic.Int64
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { came.Store(int64(d.node.core.Now())) }})
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.addr+"/v1/endpoints"+query, nil)
 	if err != nil {
 		return nil, err
@@ -177,7 +192,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.New("discovery answered " + strconv.Itoa(resp.StatusCode))
 	}
-	l := &list{}
+	l = &list{came: time.Duration(came.Load())}
 	if err := json.Unmarshal(text, l); err != nil {
 		return nil, fmt.Errorf("discovery's list: %w", err)
 	}
@@ -212,6 +227,10 @@
 
 // takeList brings the node's backends up to date and hands the list to the policy. The core's lock is held.
 func (n *node) takeList(l *list, kind policy.ListKind) {
+	told := cmp.Or(l.came, n.core.Now())
+	// A whole list may be an older one than what is known: its sender lags behind the one that told it, or counts anew. It
+	// brings back nobody who was told to drain or to be gone; a later one, or a start since, does.
+	older := kind == policy.ListFull && l.Version < n.version
 	n.version = l.Version
 	entries := make([]policy.Entry, 0, len(l.Servers))
 	seen := map[string]bool{}
@@ -233,10 +252,16 @@
 			e.State = policy.Leaving
 		}
 		b := n.names[s.ID]
+		if older && b == nil && n.isPast(s) {
+			continue
+		}
+		if older && b != nil && b.Stop.Load() != 0 && b.started == s.StartedMS && e.State == policy.Active {
+			e.State = policy.Leaving
+		}
 		if b != nil && b.Addr != s.Addr && s.Addr != "" {
 			// Another address is another process, even where the start time does not tell.
 			entries = append(entries, policy.Entry{ID: b.number, State: policy.Left})
-			n.drop(b)
+			n.drop(b, told)
 			b = nil
 		}
 		switch {
@@ -247,7 +272,7 @@
 				if !o.left && !seen[o.ID] {
 					// Its process can't be there any more: what goes to its address reaches the new one.
 					entries = append(entries, policy.Entry{ID: o.number, State: policy.Left})
-					n.drop(o)
+					n.drop(o, told)
 				}
 			}
 			n.nextNum++
@@ -257,6 +282,7 @@
 			// the policy tells the two apart by the start
 			b = &backend{number: old.number, started: s.StartedMS, Server: &back.Server{ID: s.ID, Addr: s.Addr, Via: old.Via, Gate: old.Gate, Now: n.core.Now}}
 			n.pool.Clear(old.Server, true)
+			n.drainBackend(old, told) // a send that holds it passes no other stop
 		}
 		entry := *s
 		b.entry = &entry
@@ -268,16 +294,16 @@
 			b.left = false
 			b.Stop.Store(0)
 		case policy.Leaving:
-			n.drainBackend(b)
+			n.drainBackend(b, told)
 		case policy.Left:
-			n.drop(b)
+			n.drop(b, told)
 		}
 		n.cells.changed(b)
 	}
 	if kind != policy.ListDelta {
 		for id, b := range n.names {
 			if !seen[id] {
-				n.drop(b)
+				n.drop(b, told)
 			}
 		}
 	}
@@ -320,12 +346,13 @@
 	}
 }
 
-// drainBackend lets nothing new be written to a backend once its grace is over, less the time that the news took.
-func (n *node) drainBackend(b *backend) {
-	grace := n.set.Load().Policy.DrainGrace * 9 / 10
-	if b.Stop.CompareAndSwap(0, int64(n.core.Now()+grace)) {
+// drainBackend lets nothing new be written to a backend once its grace is over, less what the news took on the way. Told is
+// when they came, on the node's clock. The core's lock is held.
+func (n *node) drainBackend(b *backend, told time.Duration) {
+	stop := told + n.set.Load().Policy.DrainGrace*9/10
+	if b.Stop.CompareAndSwap(0, int64(stop)) {
 		// Behind the grace, so that no tunnel that still comes to stand within it is missed.
-		time.AfterFunc(grace, func() {
+		time.AfterFunc(stop-n.core.Now(), func() {
 			if b.Stop.Load() != 0 {
 				n.opaque.Drain(b.Server)
 			}
@@ -334,13 +361,14 @@
 }
 
 // drop takes a backend off the list. It stays known until its grace is over: the policy may go on with the
-// last of a list that came empty, and a backend that is listed again keeps its number and its connections.
-func (n *node) drop(b *backend) {
+// last of a list that came empty, and a backend that is listed again keeps its number and its connections. Told is as for
+// drainBackend.
+func (n *node) drop(b *backend, told time.Duration) {
 	if b.left {
 		return
 	}
 	b.left = true
-	n.drainBackend(b)
+	n.drainBackend(b, told)
 	n.cells.changed(b)
 	n.checker.listed(b)
 	stop := b.Stop.Load()
@@ -352,6 +380,7 @@
 		}
 		if n.names[b.ID] == b {
 			n.delist(b)
+			n.toPast(b)
 		}
 		if n.backends[b.number] == b {
 			delete(n.backends, b.number)
@@ -359,3 +388,30 @@
 		n.pool.Clear(b.Server, true)
 	})
 }
+
+// past is a web server that was told to be gone, so that an older list does not bring it back.
+type past struct {
+	started int64
+	since   time.Duration
+}
+
+const (
+	pastFor  = time.Minute // no list is older than this
+	pastMost = 4096        // beyond so many at a time all are forgotten: then a send finds that nobody is there
+)
+
+// isPast tells whether the process that an entry speaks of was told to be gone. The core's lock is held.
+func (n *node) isPast(s *listed) bool {
+	p, told := n.past[s.ID]
+	return told && p.started == s.StartedMS
+}
+
+// toPast notes that a backend is gone, and forgets who has been for long. The core's lock is held.
+func (n *node) toPast(b *backend) {
+	now := n.core.Now()
+	maps.DeleteFunc(n.past, func(_ string, p past) bool { return now-p.since > pastFor })
+	if len(n.past) >= pastMost {
+		clear(n.past)
+	}
+	n.past[b.ID] = past{b.started, now}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,7 +63,8 @@
 	addrs    map[string][]*backend // the same by address
 	backends map[uint32]*backend   // the same by the policy's number, and those that left until their grace is over
 	nextNum  uint32
-	version  int64        // of the list
+	version  int64 // of the list
+	past     map[string]past
 	cells    *cells       // nil: there are none
 	checker  *checker     // nil: nothing is checked; its own lock guards it
 	edge     *member.Edge // nil: no talk among instances
@@ -168,8 +169,8 @@
 // function ends what was started.
 func start(cfg Config, old *estate, log *slog.Logger) (*node, func(), error) {
 	n := &node{cfg: cfg, log: log, names: map[string]*backend{}, addrs: map[string][]*backend{}, backends: map[uint32]*backend{},
-		hand: hand{disabled: map[string]bool{}, returned: map[string]time.Duration{}}}
-	o := core.Options{Clock: clock{time.Now()}, Back: n, Roster: n, Log: log, Transit: transit}
+		past: map[string]past{}, hand: hand{disabled: map[string]bool{}, returned: map[string]time.Duration{}}}
+	o := core.Options{Clock: cfg.newClock(), Back: n, Roster: n, Log: log, Transit: transit}
 	if cfg.Product != nil && cfg.Product.Cells != nil {
 		terms, err := cfg.Product.Cells.Terms()
 		if err != nil {
