A request whose client has left while it waited is not sent on: its first byte asks the socket

At fault: front/http/clients.go, answer: once one further byte stood behind a request, `left <- err != nil` ended the look for a client that leaves; while an upload's bytes wait for an attempt nobody reads at all, nor while a body waits for its room. policy.gone cancels attempts only where the settings allow it. back.Gated checked the drain alone before the first byte.

Change: the gate asks Attempt.Wanted before the first byte: whether Gone was told, and whether the client's socket has its end, also behind bytes that nobody has read (flow.Left: a look, then POLLRDHUP). Such a send is ErrLeft and surely never ran. While a request waits, flow.Watch sees the end behind whatever was sent ahead: it reads on up to the connection's buffer, then waits for the socket. Both fronts use it. A client that only ends its sending has given up as before, and is now given its one final answer: refused where no attempt was begun, failed where one may have run; before, its connection was closed without one. An answer that was there first goes before the end.

--- a/internal/back/http/attempt.go
+++ b/internal/back/http/attempt.go
@@ -80,7 +80,7 @@
 		timeUp.Stop() // a request's time counts from its last byte
 	}
 	sent, err := n.write(a, in, up, c)
-	if errors.Is(err, back.ErrShut) {
+	if errors.Is(err, back.ErrShut) || errors.Is(err, back.ErrLeft) {
 		if giveUp() {
 			n.Pool.Put(c)
 		} else {
@@ -162,7 +162,7 @@
 	req.Header.Set("X-Deadline", strconv.FormatInt(a.Wait.Microseconds(), 10)+"u")
 	w := writers.Get().(*bufio.Writer)
 	defer writers.Put(w)
-	w.Reset(back.NewGated(c.Conn, a.Server.(*back.Server)))
+	w.Reset(back.NewGated(c.Conn, a.Server.(*back.Server), a.Wanted))
 	defer w.Reset(nil)
 	err := req.Write(w)
 	if err == nil {
--- a/internal/back/server.go
+++ b/internal/back/server.go
@@ -54,6 +54,9 @@
 // ErrShut says that a server was drained or taken out while a send to it waited for a connection.
 var ErrShut = errors.New("nothing new may be sent to this backend")
 
+// ErrLeft says that nobody waits any more for what was to be sent.
+var ErrLeft = errors.New("the client of this request has left")
+
 // FirstBytes is how much of a request is written behind the gate at most. An idle connection's buffer takes it at
 // once, so that whoever shuts the gate does not wait for the server; and by its first byte a send counts.
 const FirstBytes = 16 << 10
@@ -75,16 +78,18 @@
 	return s.Now()
 }
 
-// Gated is the way to a server for one send. Its first bytes pass the gate, and are not written where that is shut.
+// Gated is the way to a server for one send. Its first bytes pass the gate, and are not written where that is shut or nobody
+// wants them any more: then the send is ErrShut or ErrLeft, and surely never ran.
 type Gated struct {
 	flow.Paced
 	server *Server
+	wanted func() bool
 	open   bool
 }
 
-// NewGated returns the way to a server over a connection.
-func NewGated(conn net.Conn, s *Server) *Gated {
-	return &Gated{Paced: flow.Paced{Conn: conn, Stall: flow.WriteStall}, server: s}
+// NewGated returns the way to a server over a connection. Wanted is asked once, before the first byte, and must not wait.
+func NewGated(conn net.Conn, s *Server, wanted func() bool) *Gated {
+	return &Gated{Paced: flow.Paced{Conn: conn, Stall: flow.WriteStall}, server: s, wanted: wanted}
 }
 
 func (g *Gated) Write(p []byte) (int, error) {
@@ -93,6 +98,9 @@
 	}
 	first, n := p[:min(len(p), FirstBytes)], 0
 	err := g.server.Pass(func() (err error) {
+		if !g.wanted() {
+			return ErrLeft
+		}
 		g.open = true
 		n, err = g.Paced.Write(first)
 		return err
--- a/internal/back/tunnel/opaque.go
+++ b/internal/back/tunnel/opaque.go
@@ -104,6 +104,9 @@
 	t.mu.Unlock()
 	// Behind the gate it is known to whoever ends the tunnels of a server that drains, or it does not come to stand.
 	err = server.Pass(func() error {
+		if !a.Wanted() {
+			return back.ErrLeft
+		}
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		b.open[t] = struct{}{}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,6 +8,7 @@
 	"errors"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"portstall/internal/contract"
@@ -84,7 +85,11 @@
 	Patience          time.Duration   // how long its client waits from then
 	Body              Body
 	Message           any // what the front has read and the back sends
+	// Left tells, without waiting, whether its client has left, though Gone may not have been called yet; nil: that can't be
+	// told. It is called from the attempts' goroutines.
+	Left func() bool
 
+	left     atomic.Bool // Gone was called
 	until    time.Duration
 	attempts []*Attempt
 	open     int
@@ -98,6 +103,21 @@
 // Answer is where the request's one final answer comes. Whoever takes it tells Written once it has passed it on.
 func (r *Request) Answer() <-chan Answer { return r.done }
 
+// Await waits for the one final answer, or until end is closed before that came: not ok, and Gone is to be told.
+func (r *Request) Await(end <-chan struct{}) (a Answer, ok bool) {
+	select {
+	case a = <-r.done:
+		return a, true
+	case <-end:
+	}
+	select {
+	case a = <-r.done: // it was first
+		return a, true
+	default:
+		return Answer{}, false
+	}
+}
+
 // Attempt is one send of a request to a web server.
 type Attempt struct {
 	Request *Request
@@ -109,6 +129,13 @@
 	cancel  context.CancelCauseFunc
 }
 
+// Wanted tells, without waiting, whether anybody waits for the attempt. A back asks it before the first byte: a request whose
+// client left while it waited for a place or a connection is not sent on. It is safe for concurrent use.
+func (a *Attempt) Wanted() bool {
+	r := a.Request
+	return !r.left.Load() && (r.Left == nil || !r.Left())
+}
+
 // Result is how an attempt ended.
 type Result struct {
 	Outcome policy.Outcome
@@ -261,19 +288,23 @@
 		Repeat: r.Repeat, Borrowed: r.grant.verdict.Borrowed, Among: among})
 }
 
-// Gone tells that a request's client has left. Its answer, if it has one, is released.
-func (c *Core) Gone(r *Request) {
+// Gone tells that a request's client has left. Its answer, if it has one, is released. Tried: an attempt was begun, so that the
+// request may have run.
+func (c *Core) Gone(r *Request) (tried bool) {
+	r.left.Store(true)
 	c.Lock()
 	defer c.Unlock()
+	tried = len(r.attempts) > 0
 	if r.answered {
 		release((<-r.done).Payload)
 		r.written = true
 		c.forget(r)
-		return
+		return tried
 	}
 	r.answered, r.written = true, true
 	c.handle(c.Now(), &policy.Event{Kind: policy.EvGone, ID: r.ID})
 	c.forget(r)
+	return tried
 }
 
 // Written tells that a request's answer is with its client, or can't be any more. Until then its id stays open: a large answer
--- a/internal/flow/socket.go
+++ b/internal/flow/socket.go
@@ -1,8 +1,11 @@
 package flow
 
 import (
+	"bufio"
 	"errors"
+	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -62,6 +65,64 @@
 	return n, err
 }
 
+// Left tells, without waiting, whether the other side has ended its sending or the connection broke, also where bytes that
+// nobody has read stand before that end. Of one that is no socket it tells nothing.
+func Left(c net.Conn) bool {
+	left := false
+	raw, err := rawOf(c)
+	if raw == nil {
+		return err != nil
+	}
+	err = raw.Control(func(fd uintptr) { left = ended(fd) })
+	return left || err != nil
+}
+
+// Watch closes end once the other side has ended its sending or the connection broke. What it sends meanwhile stays in the
+// reader as far as there is room, and else in the socket: its end is seen behind that too. There is no read deadline when it is
+// called; stop sets one, and returns once the reader is the caller's again. Who has seen the end needs no stop.
+func Watch(socket net.Conn, in *bufio.Reader) (end <-chan struct{}, stop func()) {
+	told, over := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(over)
+		err := error(nil)
+		for err == nil && in.Buffered() < in.Size() {
+			_, err = in.Peek(in.Buffered() + 1)
+		}
+		if raw, _ := rawOf(socket); err == nil && raw != nil {
+			if err = raw.Read(ended); err == nil {
+				err = io.EOF
+			}
+		}
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			close(told)
+		}
+	}()
+	return told, func() {
+		socket.SetReadDeadline(time.Unix(1, 0))
+		<-over
+	}
+}
+
+// rawOf is the socket of a connection, nil where it is none or is closed: that is an error.
+func rawOf(c net.Conn) (syscall.RawConn, error) {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return nil, nil
+	}
+	return s.SyscallConn()
+}
+
+// ended tells whether nothing more comes on a socket behind what is there.
+func ended(fd uintptr) bool {
+	n, err := peek(fd)
+	if n <= 0 {
+		return err != syscall.EAGAIN && err != syscall.EINTR
+	}
+	p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	m, err := unix.Poll(p, 0)
+	return err == nil && m == 1 && p[0].Revents&unix.POLLNVAL == 0 && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
 // Readable waits until a connection has bytes, or its end, to be read, and tells how many there are; none: it is the end.
 // Of one that is no socket it tells nothing: whoever reads from it waits.
 func Readable(c net.Conn) (there int, err error) {
--- a/internal/front/http/clients.go
+++ b/internal/front/http/clients.go
@@ -38,6 +38,7 @@
 	IdleTime   = 5 * time.Second
 	lateTime   = 30 * time.Second       // for the rest of a request that has its answer already
 	lingerTime = 100 * time.Millisecond // for a rejected client to read why before its connection is reset
+	overTime   = 250 * time.Millisecond // when a client is to come back that found no place, or left before it had one
 	lingerSize = 256 << 10              // and how much of what it goes on sending is read meanwhile
 )
 
@@ -551,7 +552,8 @@
 	}
 	h := in.Header
 	r.Request = &core.Request{ID: h.Get("X-Request-Id"), Class: h.Get("X-Class"), Tenant: h.Get("X-Tenant"), Key: h.Get("Idempotency-Key"), Repeat: h.Get("X-Retry") == "1",
-		Hint: hint(h), Caller: Caller(h, Address(c.Conn), c.user), Message: in}
+		Hint: hint(h), Caller: Caller(h, Address(c.Conn), c.user), Message: in,
+		Left: func() bool { return flow.Left(c.Conn) }}
 	if r.ID == "" || len(r.ID) > maxID {
 		return no(bad, "X-Request-Id: missing or too long")
 	}
@@ -572,7 +574,7 @@
 	}
 	if c.over { // nothing was sent: refusing is harmless, whatever the class
 		return answer{status: stdhttp.StatusServiceUnavailable, Answer: message.Answer{Body: []byte("too many connections\n")},
-			retryAfter: 250 * time.Millisecond}, true
+			retryAfter: overTime}, true
 	}
 	if !s.Core.Begin(r.Request) {
 		c.reject(&rejection{status: stdhttp.StatusConflict, text: "X-Request-Id: a request with this id is open"})
@@ -596,23 +598,18 @@
 		}
 	}
 	c.SetReadDeadline(time.Time{}) // no bound on waiting, also where the connection is to close behind this answer
-	left := make(chan bool, 1)
-	go func() {
-		_, err := c.in.Peek(1)
-		left <- err != nil
-	}()
-	select {
-	case a := <-r.Answer():
-		c.SetReadDeadline(time.Unix(1, 0)) // ends the look for a client that leaves
-		<-left
-		return worded(a), true
-	case gone := <-left:
-		if gone {
-			s.Core.Gone(r.Request)
-			return answer{}, false
+	end, stop := flow.Watch(c.Conn, c.in)
+	a, ok := r.Await(end)
+	if !ok {
+		// It may have ended its sending alone, and wait for its answer.
+		c.over, a = true, core.Answer{Kind: core.Failed}
+		if !s.Core.Gone(r.Request) {
+			a = core.Answer{Kind: core.Refused, RetryAfter: overTime}
 		}
-		return worded(<-r.Answer()), true // the next request is here already, and waits
+		return worded(a), true
 	}
+	stop()
+	return worded(a), true
 }
 
 // reject answers what is no request.
--- a/internal/front/tunnel/front.go
+++ b/internal/front/tunnel/front.go
@@ -13,6 +13,7 @@
 
 	"portstall/internal/contract"
 	"portstall/internal/core"
+	"portstall/internal/flow"
 	"portstall/internal/message"
 )
 
@@ -138,22 +139,13 @@
 // await waits for the final answer. Not ok: the client has left before it, and the core knows.
 func (f *Front) await(conn net.Conn, in *bufio.Reader, r *core.Request) (core.Answer, bool) {
 	conn.SetDeadline(time.Time{})
-	left := make(chan bool, 1)
-	go func() {
-		// What it sends ahead of the reply stays in the buffer; behind that, its leaving can't be seen.
-		_, err := in.Peek(min(in.Buffered()+1, in.Size()))
-		left <- err != nil
-	}()
-	select {
-	case a := <-r.Answer():
-		conn.SetReadDeadline(time.Unix(1, 0)) // ends the look for a client that leaves
-		<-left
-		return a, true
-	case gone := <-left:
-		if gone {
-			f.Core.Gone(r)
-			return core.Answer{}, false
-		}
-		return <-r.Answer(), true
+	// What it sends ahead of the reply stays unread, here or in the socket.
+	end, stop := flow.Watch(conn, in)
+	a, ok := r.Await(end)
+	if !ok {
+		f.Core.Gone(r)
+		return core.Answer{}, false
 	}
+	stop()
+	return a, true
 }
--- a/internal/node/operation_test.go
+++ b/internal/node/operation_test.go
@@ -91,7 +91,7 @@
 	server := r.names["s-1"].Server
 	r.core.Unlock()
 	must(t, r.Disable(context.Background(), "s-1"))
-	if n, err := back.NewGated(conn, server).Write([]byte("GET")); n != 0 || !errors.Is(err, back.ErrShut) {
+	if n, err := back.NewGated(conn, server, func() bool { return true }).Write([]byte("GET")); n != 0 || !errors.Is(err, back.ErrShut) {
 		t.Errorf("wrote %d bytes, %v", n, err)
 	}
 }
