Who needs no bytes of the budget never stands behind large bodies that wait

Read from the code while following what a request may wait for: golang.org/x/sync's semaphore lets an Acquire of 0 stand in line behind those that wait, so that with one large body waiting each GET waited too, was refused after 1 s, and each small answer waited as long.

At fault: flow.Budget.Answer and Request, which hand n = 0 to the semaphore. They return at once now. TestBudget failed before ("who needs nothing waits behind large bodies").

--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -52,13 +52,21 @@
 }
 
 // Answer takes n bytes for an answer, or fails once ctx ends.
-func (b *Budget) Answer(ctx context.Context, n int64) error { return b.all.Acquire(ctx, n) }
+func (b *Budget) Answer(ctx context.Context, n int64) error {
+	if n == 0 {
+		return nil // a semaphore would let it stand behind those that wait
+	}
+	return b.all.Acquire(ctx, n)
+}
 
 // AnswerDone gives them back.
 func (b *Budget) AnswerDone(n int64) { b.all.Release(n) }
 
 // Request takes n bytes for a request.
 func (b *Budget) Request(ctx context.Context, n int64) error {
+	if n == 0 {
+		return nil
+	}
 	if err := b.requests.Acquire(ctx, n); err != nil {
 		return err
 	}
--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"runtime"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -100,6 +101,22 @@
 	if b.Answer(over, 1) == nil {
 		t.Error("got more than there is")
 	}
+	waiting := make(chan error)
+	go func() { waiting <- b.Answer(ctx, Chunk) }()
+	go func() { waiting <- b.Request(ctx, Chunk) }()
+	short, stop := context.WithTimeout(ctx, time.Minute)
+	defer stop()
+	for range 1000 { // whether or not they stand in line yet: one with nothing to ask for never stands behind them
+		if b.Answer(short, 0) != nil || b.Request(short, 0) != nil {
+			t.Fatal("who needs nothing waits behind large bodies")
+		}
+		runtime.Gosched()
+	}
+	b.AnswerDone(Chunk)
+	b.RequestDone(Chunk)
+	if err := errors.Join(<-waiting, <-waiting); err != nil {
+		t.Error(err)
+	}
 	back := b.Lend()
 	for range 4 {
 		b.AnswerDone(Chunk)
