A close that crosses a request's first byte lets it be read; late ones end before SIGKILL

Front.CloseIdle takes a connection for idle when no request is noted and nothing stands in the socket. It now gets until 0.15 s before SIGKILL at the earliest. Requests that came before keep their time.

Ruled out: accepted connections at the end of the listener (stopAccepting waits for Accept, and for 0.5 s behind SIGTERM connections are taken, 0.1 s longer than the front sends any); a second SIGTERM (the context is over already, and the signal stays caught).

--- a/internal/front/http/clients.go
+++ b/internal/front/http/clients.go
@@ -49,6 +49,7 @@
 	Limit  int                          // connections
 	Away   func() bool                  // whether clients are sent away
 	Ready  func() int                   // the status for GET /ready
+	Until  func() time.Duration         // when a request that comes now is to have its answer, on the core's clock; 0: in its own time
 	Fits   func(*stdhttp.Request) error // whether a request is worded as its class wants it
 	Slack  time.Duration                // is added to the time that clients have: tests run many nodes on a busy machine
 }
@@ -223,11 +224,12 @@
 	}
 }
 
-// deadline bounds the next reads from a connection, unless it is closing.
+// deadline bounds the next reads from a connection, unless it is closing. A request that has begun is read to its end all
+// the same.
 func (s *Front) deadline(c *conn, t time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !c.closing {
+	if !c.closing || c.reading || c.busy {
 		c.SetReadDeadline(t)
 	}
 }
@@ -243,6 +245,18 @@
 	}
 }
 
+// Reading is how many connections have begun to send a request that is not there whole.
+func (s *Front) Reading() (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.reading {
+			n++
+		}
+	}
+	return n
+}
+
 // CloseIdle closes the connections that carry no request.
 func (s *Front) CloseIdle() {
 	s.mu.Lock()
@@ -370,13 +384,13 @@
 		return nil, nil
 	}
 	begun := time.Now()
-	s.mu.Lock()
-	c.reading, c.begun = true, begun
-	s.mu.Unlock()
 	if c.used {
 		end = begun.Add(HeadTime + s.Slack)
-		s.deadline(c, end)
 	}
+	s.mu.Lock()
+	c.reading, c.begun = true, begun
+	s.mu.Unlock()
+	s.deadline(c, end) // also where it was taken for idle just behind its first byte
 	head, err := c.head()
 	if err != nil && !time.Now().Before(end) {
 		return nil, &rejection{status: stdhttp.StatusRequestTimeout, text: "the head did not come in time"}
@@ -426,6 +440,9 @@
 	}
 	if r.body = up; r.Request != nil {
 		r.Body, r.Arrived = up, s.Core.Now()
+		if until := s.Until(); until > 0 {
+			r.Patience = min(r.Patience, until-r.Arrived)
+		}
 	}
 	return nil
 }
--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -80,13 +80,15 @@
 					known = append(known, full.entry("s-2"))
 				}
 				r = newRig(t, newRegistry(t), strings.Replace(settingsJSON, `"cancel":true`, `"cancel":`+cancel, 1), unhurried, known...)
-				waiting, release := make(chan struct{}), make(chan struct{})
+				waiting, held := make(chan struct{}), make(chan struct{})
+				release := sync.OnceFunc(func() { close(held) })
+				t.Cleanup(release) // also of a test that fails: the node's end waits for its attempts
 				var once sync.Once
 				var sent net.Conn // the server's end
 				var mu sync.Mutex
 				r.through("s-1", func(_ context.Context, d *net.Dialer, addr string) (net.Conn, error) {
 					once.Do(func() { close(waiting) })
-					<-release
+					<-held
 					conn, err := d.Dial("tcp", addr) // it comes up, though nobody waits for it any more
 					if err == nil {
 						mu.Lock()
@@ -111,7 +113,7 @@
 				if c.room {
 					r.budget.RequestDone(r.cfg.bodyBytes() / 2)
 				}
-				close(release)
+				release()
 				wait(t, "the end of the request", func() bool {
 					open, idle := r.pool.Counts()
 					return r.openRequests() == 0 && open == idle
@@ -157,3 +159,89 @@
 		t.Errorf("the next: %d %s", resp.StatusCode, fmt.Sprint(body))
 	}
 }
+
+// crossing is a connection on which something happens between a read from the socket and what the reader makes of it.
+type crossing struct {
+	*net.TCPConn
+	between func()
+}
+
+func (c *crossing) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if c.between != nil && n > 0 {
+		c.between()
+	}
+	return n, err
+}
+
+// The node closes what carries no request in the moment between a request's first byte and the note of it: the request is read
+// to its end and answered all the same, and only then its connection is closed. So with a body that is still to come.
+func TestIdleCloseCrossesARequest(t *testing.T) {
+	t.Parallel()
+	b := newBox(t, served)
+	for _, text := range []string{view("v").text(), save("s").text()} {
+		r := newRig(t, newRegistry(t), settingsJSON, unhurried, b.entry("s-1"))
+		ln, err := standin.Listen()
+		must(t, err)
+		defer ln.Close()
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		must(t, err)
+		defer conn.Close()
+		end, err := ln.Accept()
+		must(t, err)
+		r.clients.Take()
+		crossed := make(chan struct{})
+		x := &crossing{TCPConn: end.(*net.TCPConn), between: sync.OnceFunc(func() {
+			r.life.enter(drained)
+			r.clients.CloseIdle()
+			close(crossed)
+		})}
+		r.clients.Go(func() { r.clients.Serve(x, bufio.NewReaderSize(x, message.HeadSize), "") })
+		c := &client{t, conn, bufio.NewReader(conn)}
+		c.SetDeadline(time.Now().Add(patience))
+		c.send(text[:30])
+		<-crossed
+		c.send(text[30 : len(text)-4])
+		c.send(text[len(text)-4:])
+		if resp, body := c.answer(); resp.StatusCode != 200 {
+			t.Errorf("%.9q: %d %q, want it served", text, resp.StatusCode, body)
+		}
+		if n, err := c.in.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+			t.Errorf("%.9q: %d more bytes, %v, want a close", text, n, err)
+		}
+	}
+}
+
+// A request whose end comes once new connections have ceased behind SIGTERM has its answer before SIGKILL: its server is told of no
+// more time than that. One that came before has its own.
+func TestLateRequestsEndBeforeTheKill(t *testing.T) {
+	t.Parallel()
+	b := newBox(t, served)
+	r := newRig(t, newRegistry(t), settingsJSON, unhurried, b.entry("s-1"))
+	c, half := r.dial(t), r.dial(t)
+	text := save("late").text()
+	half.send(text[:30])
+	wait(t, "the first half", func() bool { return r.clients.Reading() == 1 })
+	if resp, _ := c.ask(save("early")); resp.StatusCode != 200 {
+		t.Fatalf("before: %d", resp.StatusCode)
+	}
+	r.leave()
+	wait(t, "the end of new connections", func() bool {
+		c, err := net.Dial("tcp", r.addr)
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	})
+	half.send(text[30:])
+	if resp, _ := half.answer(); resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("the late one: %d, close %v", resp.StatusCode, resp.Close)
+	}
+	for _, got := range b.requests() {
+		told, err := time.ParseDuration(strings.Replace(got.Header.Get("X-Deadline"), "u", "us", 1))
+		must(t, err)
+		if late := got.Header.Get("X-Request-Id") == "late"; late != (told < killMost+killAfter) {
+			t.Errorf("%s: its server was told of %v", got.Header.Get("X-Request-Id"), told)
+		}
+	}
+}
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -28,6 +28,7 @@
 	phase  phase
 	before phase     // what a successor relieved
 	since  time.Time // when clients were first sent away
+	ends   time.Time // when SIGTERM came
 }
 
 // sendsAway tells whether clients are to close their connections.
@@ -56,10 +57,25 @@
 	if l.phase == serving {
 		l.since = time.Now()
 	}
+	if p == leaving {
+		l.ends = time.Now()
+	}
 	l.phase = p
 	return true
 }
 
+// lastAnswer is how long from now a request that comes now may take: all the time, false, unless the process leaves and new
+// connections have ceased. One that still comes then must have its answer before SIGKILL finds it without.
+func (l *lifecycle) lastAnswer(longest time.Duration) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	gone := time.Since(l.ends)
+	if l.phase != leaving || gone < acceptFor {
+		return 0, false
+	}
+	return min(longest, killMost) + killAfter - killMargin - gone, true
+}
+
 // recall ends what a successor has relieved.
 func (l *lifecycle) recall() {
 	l.mu.Lock()
@@ -76,6 +92,15 @@
 	return l.phase == drained || l.phase == relieved && l.before == drained
 }
 
+// until is when a request that comes now is to have its answer, on the core's clock; 0: in its own time.
+func (n *node) until() time.Duration {
+	left, bound := n.life.lastAnswer(n.set.Load().longest())
+	if !bound {
+		return 0
+	}
+	return n.core.Now() + left
+}
+
 var errLeaving = errors.New("this process is leaving")
 
 // Drain sends the clients away. What was taken is answered.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,6 +37,11 @@
 	transit    = 10 * time.Millisecond
 	// acceptFor is how long after SIGTERM connections are still accepted: the front notices only after a while.
 	acceptFor = 500 * time.Millisecond
+	// SIGKILL follows SIGTERM after the longest deadline, killMost where that is longer, and killAfter. A request that comes late
+	// has its answer killMargin before, so that it is with its client.
+	killMost   = 3 * time.Second
+	killAfter  = 700 * time.Millisecond
+	killMargin = 150 * time.Millisecond
 	// streamTime is how long large bodies may go on when the node leaves and the last deadline has passed.
 	streamTime = time.Minute
 )
@@ -202,7 +207,7 @@
 		Reports: func() bool { return n.set.Load().Reports }, Slack: cfg.slack}
 	n.opaque = backtunnel.New(n.core, n.pool, n.life.sendsAway)
 	n.clients = fronthttp.New(fronthttp.Options{Core: n.core, Budget: n.budget, Limit: cfg.clientLimit(), Away: n.life.sendsAway,
-		Ready: n.readiness, Fits: func(r *http.Request) error { return n.set.Load().fits(r) }, Slack: cfg.slack})
+		Ready: n.readiness, Until: n.until, Fits: func(r *http.Request) error { return n.set.Load().fits(r) }, Slack: cfg.slack})
 	n.pair.begin(n)
 	if cfg.Product != nil && cfg.Product.State != nil {
 		set, err := cfg.Product.State.Ready()
