--- a/internal/front/http/fuzz_test.go
+++ b/internal/front/http/fuzz_test.go
@@ -60,7 +60,7 @@
 	}
 	f.Fuzz(func(t *testing.T, text []byte, piece int) {
 		budget := flow.NewBudget(1 << 20)
-		s := New(Options{Core: c, Budget: budget, Limit: 1, Away: func() bool { return false }, Ready: func() int { return 200 },
+		s := New(Options{Until: func() time.Duration { return 0 }, Core: c, Budget: budget, Limit: 1, Away: func() bool { return false }, Ready: func() int { return 200 },
 			Fits: func(*stdhttp.Request) error { return nil }})
 		sock := &canned{Reader: pieces{bytes.NewReader(text), max(1, piece&0xff)}}
 		k := &conn{Conn: sock, start: time.Now(), in: bufio.NewReaderSize(sock, message.HeadSize)}
