Where surplus was seen lately, connections rest until a late second copy must have come

A connection rests 3 ms after its answer; a copy that comes behind that, with the next request written meanwhile, passes for that request's answer: a client is served what was not made for it.

At fault: back/pool.go, restTime alone. What stays possible: the first such copy within a minute, if it comes between 3 and 10 ms behind its answer and a request goes out on that very connection in between.

--- a/internal/back/http/attempt.go
+++ b/internal/back/http/attempt.go
@@ -106,6 +106,9 @@
 	case err == nil && alive && reusable(c, got.resp):
 		n.Pool.Put(c)
 	default:
+		if err == nil && c.In.Buffered() > 0 {
+			n.Pool.Surplus()
+		}
 		n.Pool.Close(c)
 	}
 	if err == nil || errors.Is(err, errSpoilt) {
--- a/internal/back/pool.go
+++ b/internal/back/pool.go
@@ -20,6 +20,13 @@
 // the next request goes out, or it would pass for that request's answer.
 const restTime = 3 * time.Millisecond
 
+// A second copy may also come some milliseconds later, and the next request may be on its way by then. Where surplus was seen
+// within surplusFor, from whichever backend, connections rest for longer than such a copy takes.
+const (
+	surplusRest = 12 * time.Millisecond
+	surplusFor  = time.Minute
+)
+
 var ErrSockets = errors.New("no descriptor is left for a connection to a backend")
 
 // OwnTrouble tells whether an error is this machine's, out of descriptors or memory, and tells nothing of the other side.
@@ -37,6 +44,9 @@
 	idle   time.Duration // a connection that stood for this long is closed
 	open   int
 	rest   lists.List // of *Conn: those with no owner, the longest idle first
+	seen   time.Time  // when surplus was seen last; zero: never
+	now    func() time.Time
+	sleep  func(ctx context.Context, d time.Duration)
 	sweep  *time.Timer
 }
 
@@ -50,7 +60,7 @@
 
 // NewPool returns a pool of at most so many connections; Tune says more.
 func NewPool(limit int, connect, idle time.Duration) *Pool {
-	p := &Pool{limit: limit}
+	p := &Pool{limit: limit, now: time.Now, sleep: rest}
 	p.Tune(connect, idle)
 	return p
 }
@@ -103,36 +113,50 @@
 // Get returns a connection to b that nothing waits on, or opens one. Whoever has it hands it to Put or Close.
 func (p *Pool) Get(ctx context.Context, b *Server) (*Conn, error) {
 	for {
-		c := p.take(b)
+		c, wait := p.take(b)
 		if c == nil {
 			return p.Open(ctx, b)
 		}
-		if wait := restTime - time.Since(c.since); wait > 0 {
-			rest(ctx, wait)
+		if wait > 0 {
+			p.sleep(ctx, wait)
 		}
-		if flow.Pending(c.Conn) == flow.Nothing {
+		switch flow.Pending(c.Conn) {
+		case flow.Nothing:
 			return c, nil
+		case flow.BytesThere:
+			p.Surplus()
 		}
 		p.Close(c) // the backend has closed it, or sent what nobody asked for
 	}
 }
 
-// take returns the latest used of b's connections that have rested, else the one that has rested for longest.
-func (p *Pool) take(b *Server) *Conn {
+// Surplus notes that a backend sent what belongs to no request.
+func (p *Pool) Surplus() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.seen = p.now()
+}
+
+// take returns the latest used of b's connections that have rested, else the one that has rested for longest and how long it
+// still has to.
+func (p *Pool) take(b *Server) (*Conn, time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(b.conns) == 0 {
-		return nil
+		return nil, 0
+	}
+	c, now, owed := b.conns[0], p.now(), restTime
+	if !p.seen.IsZero() && now.Sub(p.seen) < surplusFor {
+		owed = surplusRest
 	}
-	c, now := b.conns[0], time.Now()
 	for _, o := range slices.Backward(b.conns) {
-		if now.Sub(o.since) >= restTime {
+		if now.Sub(o.since) >= owed {
 			c = o
 			break
 		}
 	}
 	p.remove(c)
-	return c
+	return c, owed - now.Sub(c.since)
 }
 
 // rest waits until a connection has rested, or ctx ends.
@@ -203,7 +227,7 @@
 		c.Close()
 		return
 	}
-	c.since = time.Now()
+	c.since = p.now()
 	c.place = p.rest.PushBack(c)
 	c.server.conns = append(c.server.conns, c)
 	if p.idle > 0 && p.sweep == nil {
@@ -233,7 +257,7 @@
 	p.sweep = nil
 	for e := p.rest.Front(); e != nil && p.idle > 0; e = p.rest.Front() {
 		c := e.Value.(*Conn)
-		if left := p.idle - time.Since(c.since); left > 0 {
+		if left := p.idle - p.now().Sub(c.since); left > 0 {
 			p.sweep = time.AfterFunc(left, p.expire)
 			return
 		}
