A list that breaks off once it has begun is asked for again within the grace

At fault: discovery.go, call, which told no failure from another. A reload that changes the grace or the way of lists is heard by a loop that runs.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -89,16 +89,16 @@
 // loop watches until the discovery is left. Where lists are pushed, or a fresh one is owed, it goes on after a failure;
 // elsewhere a failure is told to the policy, which says when to ask again.
 func (d *discovery) loop() {
-	set := d.node.set.Load().Policy
-	r := &rhythm{push: !set.MustAsk, grace: set.DrainGrace}
-	if d.told > 0 {
-		r.owe(d.told)
-	}
+	r := &rhythm{}
 	for d.ctx.Err() == nil {
-		begun := time.Now()
+		begun, set := time.Now(), d.node.set.Load().Policy // a reload may have changed them
+		r.push, r.grace = !set.MustAsk, set.DrainGrace
 		d.node.core.Lock()
 		since, whole := d.node.version, d.whole
 		d.node.core.Unlock()
+		if whole && d.told > 0 {
+			r.owe(d.told)
+		}
 		wait, limit := r.call(whole, rand.Float64())
 		if t := d.node.cfg.watch; t != nil {
 			wait, limit = t(wait, limit)
@@ -108,7 +108,7 @@
 		if whole {
 			query = ""
 		}
-		l, err := d.call(query, limit)
+		l, how, err := d.call(query, limit, r.body()+d.node.cfg.slack)
 		if err == nil {
 			r.answered()
 			kind := policy.ListDelta
@@ -125,7 +125,7 @@
 			return
 		}
 		d.node.log.Warn("watching discovery failed", "err", err)
-		rest, again := r.failed(d.node.core.Now(), over, errors.Is(err, errSilent), rand.Float64())
+		rest, again := r.failed(d.node.core.Now(), over, how, rand.Float64())
 		if !again {
 			d.lost()
 			return
@@ -149,7 +149,7 @@
 func (d *discovery) fetch() {
 	n := d.node
 	n.core.Go(func() {
-		l, err := d.call("", fetchWait)
+		l, _, err := d.call("", fetchWait, fetchWait)
 		if err == nil {
 			d.news(l, policy.ListFull, false)
 			return
@@ -163,40 +163,52 @@
 	})
 }
 
-var errSilent = errors.New("no answer in time")
-
-// call asks once. What was not there whole within the limit is errSilent.
-func (d *discovery) call(query string, limit time.Duration) (l *list, err error) {
-	ctx, cancel := context.WithTimeout(d.ctx, limit)
+// call asks once. The answer is to begin within a limit, and to be whole within another one from its first byte on.
+func (d *discovery) call(query string, limit, body time.Duration) (l *list, how failure, err error) {
+	ctx, cancel := context.WithCancel(d.ctx)
+	defer cancel()
+	var late atomic.Bool
+	end := time.AfterFunc(limit, func() {
+		late.Store(true)
+		cancel()
+	})
+	defer end.Stop()
+	var came atomic.Int64
 	defer func() {
-		if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			err = fmt.Errorf("%w: %w", errSilent, err)
+		switch {
+		case err == nil:
+		case came.Load() > 0:
+			how = brokenOff
+		case late.Load():
+			how, err = noAnswer, fmt.Errorf("no answer within %v: %w", limit, err)
 		}
-		cancel()
 	}()
-	var came atomic.Int64
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { came.Store(int64(d.node.core.Now())) }})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() {
+		came.Store(int64(d.node.core.Now()))
+		end.Reset(body)
+	}})
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.addr+"/v1/endpoints"+query, nil)
 	if err != nil {
-		return nil, err
+		return nil, failedCall, err
 	}
 	resp, err := d.http.Do(req)
 	if err != nil {
-		return nil, err
+		return nil, failedCall, err
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
 	if err != nil {
-		return nil, err
+		return nil, failedCall, err
 	}
 	if resp.StatusCode != http.StatusOK {
-		return nil, errors.New("discovery answered " + strconv.Itoa(resp.StatusCode))
+		came.Store(0) // it tells nothing of the list
+		return nil, failedCall, errors.New("discovery answered " + strconv.Itoa(resp.StatusCode))
 	}
 	l = &list{came: time.Duration(came.Load())}
 	if err := json.Unmarshal(text, l); err != nil {
-		return nil, fmt.Errorf("discovery's list: %w", err)
+		return nil, failedCall, fmt.Errorf("discovery's list: %w", err)
 	}
-	return l, nil
+	return l, failedCall, nil
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -19,6 +19,8 @@
 	// and all that another discovery has so long after SIGHUP.
 	reloadTold = 4 * time.Second
 
+	bodyWait = 250 * time.Millisecond // for the rest of an answer that has begun, at first
+
 	backoff   = 50 * time.Millisecond
 	backoffTo = 2 * time.Second
 )
@@ -31,6 +33,22 @@
 	grace time.Duration // of drains
 	due   time.Duration // until then a fresh list is owed, and a failed call is made anew by itself
 	rest  time.Duration // behind the latest failure; 0: none since an answer
+	slow  int           // answers since the latest whole one that broke off once they had begun
+}
+
+// failure is how a call failed.
+type failure uint8
+
+const (
+	failedCall failure = iota // an error, or the connection broke before an answer
+	noAnswer                  // nothing came within the call's limit
+	brokenOff                 // an answer had begun: what it was to tell may count as told
+)
+
+// body is how long the rest of an answer that has begun may take. It was told as it was written, so that a part of the grace is
+// all there is; where answers keep breaking off at that they take longer, and half a grace is not to be had.
+func (r *rhythm) body() time.Duration {
+	return min(max(bodyWait, r.grace/2)<<min(r.slow, 8), fetchWait)
 }
 
 // call is how long a call waits for news, and the limit on the whole of it. Draw is from [0, 1).
@@ -49,18 +67,22 @@
 func (r *rhythm) owe(told time.Duration) { r.due = max(r.due, told+r.grace) }
 
 // answered notes that a call was answered with a list.
-func (r *rhythm) answered() { r.due, r.rest = 0, 0 }
+func (r *rhythm) answered() { r.due, r.rest, r.slow = 0, 0, 0 }
 
-// failed notes that a call has failed, and tells how long to rest before the next one. Silent: nothing came within its
-// limit; its wait was over at the given time. Not again: nothing is owed, and the policy says when to ask.
-func (r *rhythm) failed(now, over time.Duration, silent bool, draw float64) (rest time.Duration, again bool) {
-	if silent {
+// failed notes that a call has failed, whose wait was over at the given time, and tells how long to rest before the next one. Not
+// again: nothing is owed, and the policy says when to ask.
+func (r *rhythm) failed(now, over time.Duration, how failure, draw float64) (rest time.Duration, again bool) {
+	switch how {
+	case noAnswer:
 		r.owe(over + toldAfter)
+	case brokenOff:
+		r.owe(now)
+		r.slow++
 	}
 	if !r.push && now >= r.due {
 		return 0, false
 	}
-	if silent && r.rest == 0 {
+	if how == noAnswer && r.rest == 0 {
 		r.rest = backoff
 		return 0, true // it has waited long enough
 	}
--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -31,17 +31,17 @@
 				fell := began + time.Duration(rng.Int64N(int64(wait))) // when it fell silent
 				told := max(fell+6*time.Second, began+wait+2*time.Second)
 				now := began + limit
-				rest, again := r.failed(now, began+wait, true, rng.Float64())
+				rest, again := r.failed(now, began+wait, noAnswer, rng.Float64())
 				line := time.Duration(rng.Int64N(int64(2 * time.Second))) // a call stands in line for so long,
-				refused := rng.IntN(3)                                    // or was turned away so often before
-				for range refused {
+				turned := rng.IntN(3)                                     // or was turned away so often before
+				for range turned {
 					if !again {
 						t.Fatalf("push %v, grace %v: the loop gives up %v before what was missed counts", push, grace, told-now)
 					}
 					now += rest + 50*time.Millisecond
-					rest, again = r.failed(now, 0, false, rng.Float64())
+					rest, again = r.failed(now, 0, failedCall, rng.Float64())
 				}
-				if now += rest; refused == 0 {
+				if now += rest; turned == 0 {
 					now += line
 				}
 				if !again || now > told+grace*9/10 {
@@ -51,13 +51,28 @@
 			// While a pushed list's agent is out nothing rests for longer than a part of the grace; elsewhere the policy says when.
 			r := &rhythm{push: push, grace: grace}
 			for range 50 {
-				rest, again := r.failed(time.Hour, 0, false, 0.999)
+				rest, again := r.failed(time.Hour, 0, failedCall, 0.999)
 				if again != push || rest > grace/2 {
 					t.Fatalf("push %v, grace %v: rests for %v, again %v", push, grace, rest, again)
 				}
 			}
+			// What breaks off once it has begun was told: it is asked for again within the grace, and an answer that always takes
+			// longer than it may is heard in the end.
+			r = &rhythm{push: push, grace: grace}
+			if b := r.body(); b > grace/2 {
+				t.Errorf("push %v, grace %v: the rest of an answer may take %v", push, grace, b)
+			}
+			if rest, again := r.failed(time.Hour, 0, brokenOff, 0.999); !again || r.rest == 0 || rest > grace/4 {
+				t.Errorf("push %v, grace %v: broken off, rests for %v, again %v", push, grace, rest, again)
+			}
+			for range 8 {
+				r.failed(time.Hour, 0, brokenOff, 0)
+			}
+			if b := r.body(); b != fetchWait {
+				t.Errorf("push %v, grace %v: slow answers may take %v in the end", push, grace, b)
+			}
 			r.owe(time.Hour)
-			if _, again := r.failed(time.Hour+grace/2, 0, false, 0); !again {
+			if _, again := r.failed(time.Hour+grace/2, 0, failedCall, 0); !again {
 				t.Errorf("push %v, grace %v: gives up though a list is owed", push, grace)
 			}
 		}
@@ -161,6 +176,41 @@
 	}
 }
 
+// An answer that has begun was told. One that stands still, is cut off or makes no sense is asked for again at once and without the
+// policy, though its watch could wait for long.
+func TestBrokenAnswerIsAskedForAgain(t *testing.T) {
+	t.Parallel()
+	for _, how := range []string{"stands still", "cut off", "no list"} {
+		t.Run(how, func(t *testing.T) {
+			t.Parallel()
+			a, b := newBox(t, served), newBox(t, served)
+			draining := a.entry("s-1")
+			draining.State = "Terminating"
+			text := listText(list{Version: 2, Servers: []listed{draining}})
+			m := newMute(t, func(c net.Conn, nth int64, _ string) bool {
+				switch {
+				case nth > 1:
+					io.WriteString(c, text)
+				case how == "no list":
+					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"versio:")
+				default:
+					io.WriteString(c, text[:len(text)-9])
+					if how == "cut off" {
+						c.Close()
+					}
+					return false
+				}
+				return true
+			})
+			r := newRig(t, &registry{addr: m.addr}, strings.Replace(settingsJSON, `"push"`, `"ask"`, 1), func(c *Config) {
+				c.clock = timeless{clock{time.Now()}}
+				c.watch = func(wait, _ time.Duration) (time.Duration, time.Duration) { return wait, patience }
+			}, a.entry("s-1"), b.entry("s-2"))
+			wait(t, "the drain", func() bool { return r.backendOf("s-1").Stop.Load() != 0 })
+		})
+	}
+}
+
 // The grace runs from the first byte of an answer, however long the rest takes: it was told before that.
 func TestGraceRunsFromTheAnswersFirstByte(t *testing.T) {
 	t.Parallel()
@@ -182,6 +232,7 @@
 		return true
 	})
 	r := newRig(t, &registry{addr: m.addr}, settingsJSON, func(c *Config) {
+		unhurried(c)
 		c.clock = manual{&now, &looks}
 		c.watch = func(wait, _ time.Duration) (time.Duration, time.Duration) { return wait, patience }
 	}, a.entry("s-1"))
