A test forces a server's close before, in and behind a request, for each class

Ruled out: that a request which a server's close met is sent again where it may have run, or not where it surely never did. The stand-in closes once an exact part of the request has come there, and the node's write goes on only once its socket knows.

--- /dev/null
+++ b/internal/node/idle_test.go
@@ -0,0 +1,98 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"portstall/internal/flow"
+	"portstall/internal/lab/standin"
+)
+
+// cutting is a connection to a server on which the server's end goes once a part of the first write has come there.
+type cutting struct {
+	*net.TCPConn
+	at  func(whole int) int // how much of it
+	cut func(n int)
+}
+
+func (c *cutting) Write(p []byte) (int, error) {
+	if c.cut == nil {
+		return c.TCPConn.Write(p)
+	}
+	n, err := c.TCPConn.Write(p[:c.at(len(p))])
+	if err != nil {
+		return n, err
+	}
+	c.cut(n)
+	if c.cut = nil; n == len(p) {
+		return n, nil
+	}
+	m, err := c.TCPConn.Write(p[n:])
+	return n + m, err
+}
+
+// A server closes a connection while a request is written to it: before its first byte, in its head, before its last byte, and
+// behind it. A reset that came before the last byte was taken proves that nothing ran, and each class goes to the other server. What
+// was written whole may have run, whatever closed: only a class that may be repeated goes there. None is ever there twice.
+func TestServerClosesUnderARequest(t *testing.T) {
+	t.Parallel()
+	for _, q := range []call{view("q"), save("q"), quote("q")} {
+		for _, c := range []struct {
+			name  string
+			at    func(whole int) int
+			reset bool // else it closes in good order, which does not keep the rest from being taken
+			never bool // it surely never ran
+		}{
+			{"before the first byte", func(int) int { return 0 }, true, true},
+			{"in the head", func(int) int { return 20 }, true, true},
+			{"before the last byte", func(whole int) int { return whole - 1 }, true, true},
+			{"behind the last byte", func(whole int) int { return whole }, true, false},
+			{"an idle one, as it is written", func(int) int { return 0 }, false, false},
+		} {
+			t.Run(q.class+" "+c.name, func(t *testing.T) {
+				t.Parallel()
+				ln, err := standin.Listen()
+				must(t, err)
+				defer ln.Close()
+				other := newBox(t, served)
+				first := listed{ID: "s-1", Addr: ln.Addr().String(), Zone: "north", Kind: "k", State: "Ready"}
+				r := newRig(t, newRegistry(t), settingsJSON, unhurried, first, other.entry("s-2"))
+				must(t, r.Disable(context.Background(), "s-2")) // until the first attempt is under way
+				r.through("s-1", func(_ context.Context, d *net.Dialer, addr string) (net.Conn, error) {
+					conn, err := d.Dial("tcp", addr)
+					if err != nil {
+						return nil, err
+					}
+					end, err := ln.Accept()
+					if err != nil {
+						return nil, err
+					}
+					return &cutting{TCPConn: conn.(*net.TCPConn), at: c.at, cut: func(n int) {
+						if _, err := io.ReadFull(end, make([]byte, n)); err != nil {
+							t.Error(err)
+						}
+						if err := r.Enable(context.Background(), "s-2"); err != nil {
+							t.Error(err)
+						}
+						if c.reset {
+							end.(*net.TCPConn).SetLinger(0)
+						}
+						end.Close()
+						wait(t, "the close at the node", func() bool { return flow.Left(conn) })
+					}}, nil
+				})
+				resp, _ := r.dial(t).ask(q)
+				again := c.never || q.class != "quote"
+				if want := map[bool]int{true: http.StatusOK, false: http.StatusInternalServerError}[again]; resp.StatusCode != want {
+					t.Errorf("answered %d, want %d", resp.StatusCode, want)
+				}
+				if n := len(other.requests()); n != map[bool]int{true: 1, false: 0}[again] {
+					t.Errorf("the other server got %d requests", n)
+				}
+			})
+		}
+	}
+}
