--- a/internal/front/http/clients.go
+++ b/internal/front/http/clients.go
@@ -245,18 +245,6 @@
 	}
 }
 
-// Reading is how many connections have begun to send a request that is not there whole.
-func (s *Front) Reading() (n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.conns {
-		if c.reading {
-			n++
-		}
-	}
-	return n
-}
-
 // CloseIdle closes the connections that carry no request.
 func (s *Front) CloseIdle() {
 	s.mu.Lock()
--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -218,10 +218,10 @@
 	t.Parallel()
 	b := newBox(t, served)
 	r := newRig(t, newRegistry(t), settingsJSON, unhurried, b.entry("s-1"))
-	c, half := r.dial(t), r.dial(t)
+	c, half := r.dial(t), r.connect(t)
 	text := save("late").text()
 	half.send(text[:30])
-	wait(t, "the first half", func() bool { return r.clients.Reading() == 1 })
+	wait(t, "the first half", func() bool { return flow.Pending(half.end) == flow.Nothing })
 	if resp, _ := c.ask(save("early")); resp.StatusCode != 200 {
 		t.Fatalf("before: %d", resp.StatusCode)
 	}
