Tests make a connection's two ends in one place

The same eight lines stood in TestIdleCloseCrossesARequest, rig.connect and TestStallBehindALateCopy; bothEnds serves all three. No assertion changed.

--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -23,18 +23,25 @@
 	end net.Conn
 }
 
-// connect makes one, and hands its end to the node.
-func (r *rig) connect(t *testing.T) seen {
+// bothEnds is a connection: the end that dialled, and the other.
+func bothEnds(t *testing.T) (conn, end net.Conn) {
 	t.Helper()
 	ln, err := standin.Listen()
 	must(t, err)
 	defer ln.Close()
-	c, err := net.Dial("tcp", ln.Addr().String())
+	conn, err = net.Dial("tcp", ln.Addr().String())
 	must(t, err)
-	t.Cleanup(func() { c.Close() })
-	c.SetDeadline(time.Now().Add(patience))
-	end, err := ln.Accept()
+	t.Cleanup(func() { conn.Close() })
+	end, err = ln.Accept()
 	must(t, err)
+	return conn, end
+}
+
+// connect makes one, and hands its end to the node.
+func (r *rig) connect(t *testing.T) seen {
+	t.Helper()
+	c, end := bothEnds(t)
+	c.SetDeadline(time.Now().Add(patience))
 	if !r.clients.Take() {
 		t.Fatal("no place")
 	}
@@ -181,14 +188,7 @@
 	b := newBox(t, served)
 	for _, text := range []string{view("v").text(), save("s").text()} {
 		r := newRig(t, newRegistry(t), settingsJSON, unhurried, b.entry("s-1"))
-		ln, err := standin.Listen()
-		must(t, err)
-		defer ln.Close()
-		conn, err := net.Dial("tcp", ln.Addr().String())
-		must(t, err)
-		defer conn.Close()
-		end, err := ln.Accept()
-		must(t, err)
+		conn, end := bothEnds(t)
 		r.clients.Take()
 		crossed := make(chan struct{})
 		x := &crossing{TCPConn: end.(*net.TCPConn), between: sync.OnceFunc(func() {
--- a/internal/node/opaque_test.go
+++ b/internal/node/opaque_test.go
@@ -355,14 +355,7 @@
 	if answer.Kind != core.Served {
 		t.Fatalf("%+v", answer)
 	}
-	ln, err := standin.Listen()
-	must(t, err)
-	defer ln.Close()
-	conn, err := net.Dial("tcp", ln.Addr().String())
-	must(t, err)
-	defer conn.Close()
-	there, err := ln.Accept()
-	must(t, err)
+	conn, there := bothEnds(t)
 	late := lateCopy{there.(*net.TCPConn), make(chan struct{})}
 	go answer.Payload.(message.Tunnel).Relay(late, bufio.NewReader(there))
 	c := &client{t, conn, bufio.NewReader(conn)}
