Cold servers draw on first draws alone, and a rise of them counts within half a second

Cause: hundreds of nodes that see a rise of their draws too late by the memory of 3 s alone push cold servers over together, and draws made anew for crowded warm servers came on top. Ruled out: the ramp's part (coldPart stays at 0.67).

--- a/internal/lab/oracle/oracle.go
+++ b/internal/lab/oracle/oracle.go
@@ -9,6 +9,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -48,8 +49,9 @@
 	WindowSlack  time.Duration // clocks of a real run that don't tell more finely
 	FallMultiple float64
 	FallFor      time.Duration
-	// ColdSlack is what a cold budget may be exceeded by, as work in seconds, since a node can't know of single requests.
-	ColdSlack float64
+	// MeanWork is a request's mean work in seconds. A cold server's budget is N requests of it, N being what FallMultiple times
+	// its present capacity does in FallFor; 2 x root of N + 2 more are put down to chance. At 0 nothing is.
+	MeanWork float64
 }
 
 // Breach is one broken rule.
@@ -307,7 +309,8 @@
 		}
 		c.window = c.window[1:]
 	}
-	budget := b.fig.FallMultiple*capacity*b.fig.FallFor.Seconds() + b.fig.ColdSlack
+	budget := b.fig.FallMultiple * capacity * b.fig.FallFor.Seconds()
+	budget += 2*math.Sqrt(budget*b.fig.MeanWork) + 2*b.fig.MeanWork // in requests: N + 2 x root of N + 2
 	if c.sum <= budget || c.fell {
 		return
 	}
--- a/internal/lab/oracle/oracle_test.go
+++ b/internal/lab/oracle/oracle_test.go
@@ -221,6 +221,13 @@
 		{"a cold one pushed over", func(b *Book) { push(b, 13, true) }, Cold},
 		{"a cold one within its budget", func(b *Book) { push(b, 12, true) }, ""},
 		{"a cold one pushed over by nodes that were not told", func(b *Book) { push(b, 13, false) }, ""},
+		// N is 12 requests of 50 ms: 2 x root of 12 + 2 are 8.9 more.
+		{"a cold one within its budget and chance", func(b *Book) { b.fig.MeanWork = 0.05; push(b, 20, true) }, ""},
+		{"a cold one pushed over beyond chance", func(b *Book) { b.fig.MeanWork = 0.05; push(b, 21, true) }, Cold},
+		{"beyond chance, by nodes that were not told", func(b *Book) { b.fig.MeanWork = 0.05; push(b, 21, false) }, ""},
+		// Requests of 100 ms on the mean: N is 6, and 6.9 more of them, that is 25 of these.
+		{"lighter ones than the mean, within", func(b *Book) { b.fig.MeanWork = 0.1; push(b, 25, true) }, ""},
+		{"lighter ones than the mean, beyond", func(b *Book) { b.fig.MeanWork = 0.1; push(b, 26, true) }, Cold},
 		{"a request left over", func(b *Book) {
 			b.Taken(0, 0, "r", read, time.Second)
 			b.Close(time.Second, nil)
--- a/policy/api.go
+++ b/policy/api.go
@@ -235,7 +235,7 @@
 // Totals are decayed sums over all requests and servers.
 type Totals struct {
 	Total, Lessers float64 // requests, and of those the ones that are diverted first
-	Picks, Span    float64 // draws, and the seconds that they were counted in
+	Picks, Span    float64 // requests' first draws, and the seconds that they were counted in
 	Seen, Mean     float64 // reports, and what others hold at a backend by their mean
 	Strain         float64 // part of the latest draws that met no normal backend
 	Retries        float64 // further attempts that the budget allows
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -10,6 +10,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -28,6 +29,7 @@
 	othersTau = 3.0  // reports are older than most requests: what others add is known as a mean only
 	lagTau    = 0.5  // about how old a report is when it is read
 	rateTau   = 3.0  // memory of service times and send rates
+	jumpTau   = 0.5  // and over this a rise of the draws' rate is seen that is no chance
 	knowTau   = 2.0  // a report fades towards the mean of the fresh ones over this
 	oldTau    = 10.0 // an occupancy that drew 'full' and class shares fade over this
 	slotTau   = 60.0 // and how many it has in work at once over this
@@ -110,7 +112,7 @@
 // Adopt takes over what another process has learnt: of the servers that were not started anew since, and of the classes that
 // are told. It comes behind a list and before any request.
 func (b *Balancer) Adopt(now time.Duration, l *Learnt) {
-	b.now, b.Totals = max(now.Seconds(), b.now), l.Totals
+	b.now, b.Totals, b.began = max(now.Seconds(), b.now), l.Totals, math.Inf(-1)
 	for i := range l.Servers {
 		if k := &l.Servers[i]; b.servers[k.ID] != nil && b.servers[k.ID].launched == k.Launched {
 			b.servers[k.ID].Evidence = k.Evidence
@@ -139,14 +141,12 @@
 		b.gone(ev)
 	case EvList:
 		b.list(t, ev)
-	case EvDisable:
-		if s := b.servers[ev.Server]; s != nil {
-			s.disabled = true
-		}
 	case EvEnable:
 		b.enable(t, ev)
-	case EvWeigh:
-		if s := b.servers[ev.Server]; s != nil {
+	case EvDisable, EvWeigh:
+		if s := b.servers[ev.Server]; s != nil && ev.Kind == EvDisable {
+			s.disabled = true
+		} else if s != nil {
 			s.less, s.most = 1-min(1, max(1e-3, ev.Weight)), float64(ev.Most)
 		}
 	case EvSettings:
@@ -534,8 +534,10 @@
 // pick draws a backend in the given mode or a better one, by weights that fall with the expected delay.
 func (b *Balancer) pick(now float64, r *request, worst Mode) *server {
 	var chosen, spare *server
-	from, sum := b.candidates(r), 0.0
-	b.Picks++
+	from, sum, fresh := b.candidates(r), 0.0, worst == overload && len(r.attempts) == 0
+	if fresh {
+		b.Picks, b.latest = b.Picks+1, b.latest+1
+	}
 	first, at, step, part, n := 0, 0, 1, 1.0, len(from)
 	if n > wide { // each is as likely to be looked at as any other, and none twice
 		for at, step = b.rng.IntN(n), n; gcd(step, n) > 1; step = 1 + b.rng.IntN(n-1) {
@@ -568,8 +570,9 @@
 			// A cold backend is kept from being pushed over by a fixed share of each node's requests: its ramp's part of what a
 			// warm one serves, times a part of the multiple that brings it down. The rest is for bursts and for backends slower
 			// than their kind. Nothing is saved up: budgets that hundreds of nodes begin at the same start would come due
-			// together. One that is looked at by chance has its share of that chance.
-			if (n <= wide || i < sample) && b.rng.Float64() < s.chance*ramp*b.set.FallFactor*coldPart/part {
+			// together. One that is looked at by chance has its share of that chance. Only a request's first draw counts: the
+			// others come in crowds, and at once, when the warm ones fill.
+			if fresh && (n <= wide || i < sample) && b.rng.Float64() < s.chance*ramp*b.set.FallFactor*coldPart/part {
 				return s
 			}
 			// It may also take what nobody else does: with so many in flight, of a few nodes together, it is sent only as fast
@@ -642,6 +645,7 @@
 	b.Seen *= f
 	b.Strain *= math.Exp(-dt / fadeTau) // who refuses all requests would else never see better
 	b.Picks, b.Span = b.Picks*f, b.Span*f+rateTau*(1-f)
+	b.jump, b.latest, b.began = b.jump+(b.latest/dt-b.jump)*(1-math.Exp(-dt/jumpTau)), 0, cmp.Or(b.began, now)
 	for _, s := range b.order {
 		s.Latency, s.Occupancy, s.Served = s.Latency*f, s.Occupancy*f, s.Served*f
 		s.Room *= wider
@@ -690,13 +694,20 @@
 	if k.told > 0 {
 		k.base = k.work / k.told
 	}
-	k.chance = b.Span / k.typical / float64(b.set.Nodes) // one after the other, where no backend is warm
+	span := b.Span * (1 - math.Exp((b.began-b.planAt)/rateTau)) // since the node began: what it has drawn is no older
+	k.chance = span / k.typical / float64(b.set.Nodes)          // one after the other, where no backend is warm
 	if k.warm > 0 {
 		k.chance = k.served / k.warm
 	} else if all.warm > 0 {
 		k.chance = all.served / all.warm / 2 // its kind may be the slower one
 	}
-	k.chance /= b.Picks + 1
+	// Hundreds of nodes see a rise of their draws at the same time, and each too late by the long memory alone. One over a
+	// standard deviation counts whole: chance evens out among the nodes, and one rise of all of them adds up.
+	draws := b.Picks + 1
+	if (b.jump-math.Sqrt(b.jump/2/jumpTau))*span > draws {
+		draws = b.jump * span
+	}
+	k.chance /= draws
 }
 
 // take takes over what is known of a backend's kind, and of where it is.
@@ -784,9 +795,7 @@
 		delete(b.servers, s.ID)
 		return
 	}
-	if s.kin = b.kinds[s.Kind]; s.kin == nil { // for the moment as all together
-		s.kin = b.fleet
-	}
+	s.kin = cmp.Or(b.kinds[s.Kind], b.fleet) // a new kind: for the moment as all together
 	s.take(b)
 	b.file(s, true)
 }
@@ -833,19 +842,9 @@
 
 // arrange drops servers that have left or were started anew, takes in others, and keeps all in order of ids.
 func (b *Balancer) arrange(others ...*server) {
-	all := append(b.order, others...)
-	b.order = all[:0]
-	for _, s := range all {
-		if b.servers[s.ID] != s {
-			continue
-		}
-		if s.State == Left {
-			delete(b.servers, s.ID) // attempts that are out keep their own hold on it
-		} else {
-			b.order = append(b.order, s)
-		}
-	}
-	clear(all[len(b.order):])
+	// Attempts that are out keep their own hold on those that go.
+	maps.DeleteFunc(b.servers, func(_ uint32, s *server) bool { return s.State == Left })
+	b.order = slices.DeleteFunc(append(b.order, others...), func(s *server) bool { return b.servers[s.ID] != s })
 	slices.SortFunc(b.order, byID)
 	b.zones, b.cells = map[string][]*server{}, map[int64][]*server{}
 	if len(b.order) > wide { // where draws ask for them
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1182,6 +1182,85 @@
 	}
 }
 
+// Hundreds of nodes once sent cold backends four times what was meant: a burst had filled the warm ones, draws rose eightfold
+// within a second, and the part of them that goes to a cold backend followed over three. A rise that is no chance counts at
+// once and whole (by two standard deviations, and less these, it stood for half of the draws where a node has a few a second); a node
+// that has a request every few seconds, or as many as ever, goes by the long memory.
+func TestRiseOfDrawsIsSeen(t *testing.T) {
+	for _, c := range []struct {
+		before, after float64 // requests a second; warm backends serve as many throughout
+		most          float64 // of what the cold one's part was before, a second after the rise; 0: it goes by the long memory at all times
+	}{{20, 160, 0.25}, {10, 50, 0.25}, {3, 30, 0.14}, {3, 9, 0.45}, {20, 20, 0}, {0.3, 0.3, 0}} {
+		b := node(t, settings(func(s *Settings) { s.ColdFor = time.Minute }), Entry{ID: 1, Kind: "k"}, Entry{ID: 2, Kind: "k", Launched: t0})
+		now := t0
+		play := func(rate float64, span time.Duration) (part float64) {
+			next := now.Seconds()
+			for end := now + span; now < end; now += 250 * time.Millisecond {
+				for ; next < now.Seconds(); next += 1 / rate {
+					b.arrive(next, &Event{ID: fmt.Sprint(rate, next), Class: "low", Left: time.Second})
+					b.servers[1].Served += c.before / rate
+				}
+				b.plan(now.Seconds())
+				if long := b.servers[1].Served / (b.Picks + 1); c.most == 0 && b.servers[2].chance != long {
+					t.Fatalf("at %v a second: its part is %v, by the long memory %v", rate, b.servers[2].chance, long)
+				}
+			}
+			return b.servers[2].chance
+		}
+		was := play(c.before, 20*time.Second)
+		if got := play(c.after, time.Second) / was; c.most > 0 && (got > c.most || got < c.before/c.after/2) {
+			t.Errorf("from %v to %v a second: its part is %.2f of what it was, want at most %v", c.before, c.after, got, c.most)
+		}
+	}
+}
+
+// A fresh node before cold backends alone once sent them many times their part: it took its empty memory for one of three seconds.
+func TestFreshNodeBeforeColdBackendsAlone(t *testing.T) {
+	const nodes, rate = 100, 10.0
+	set := settings(func(s *Settings) { s.Nodes, s.ColdFor = nodes, time.Minute })
+	b := node(t, set, Entry{ID: 1, Kind: "k", Launched: t0}, Entry{ID: 2, Kind: "k", Launched: t0})
+	next, got := t0.Seconds(), 0.0
+	for now := t0; now < t0+20*time.Second; now += 250 * time.Millisecond {
+		b.plan(now.Seconds())
+		s := b.servers[1]
+		meant := 1 / s.typical / nodes // one after the other, of all nodes together
+		if got = s.chance * rate / meant; got > 1.05 {
+			t.Errorf("after %v: %.2f of its part", now-t0, got)
+		}
+		for ; next < (now + 250*time.Millisecond).Seconds(); next += 1 / rate {
+			b.arrive(next, &Event{ID: fmt.Sprint(next), Class: "low", Left: time.Second})
+		}
+	}
+	if got < 0.9 {
+		t.Errorf("at last %.2f of its part", got)
+	}
+}
+
+// A request draws anew when it is diverted, and for each further attempt. That happens to most at once when the warm ones are
+// crowded: only its first draw may go to a cold backend by that one's part, and only it counts.
+func TestColdPartIsOfFirstDraws(t *testing.T) {
+	b := node(t, settings(func(s *Settings) { s.Nodes = 100 }), Entry{ID: 1, Kind: "k"}, Entry{ID: 2, Kind: "k"}, Entry{ID: 3, Kind: "k", Launched: t0})
+	b.servers[3].chance = 1e9 // whoever may go to it goes
+	for _, c := range []struct {
+		name  string
+		tried int
+		worst Mode
+		cold  bool
+	}{
+		{"first", 0, overload, true},
+		{"diverted", 0, normal, false},
+		{"a further attempt", 1, overload, false},
+		{"a further one, diverted", 1, normal, false},
+	} {
+		r := &request{class: b.classes[1], attempts: make([]attempt, c.tried)}
+		drawn := b.Picks
+		s := b.pick(t0.Seconds(), r, c.worst)
+		if s == nil || (s.ID == 3) != c.cold || (b.Picks > drawn) != c.cold {
+			t.Errorf("%s: drew %v, counted %v", c.name, s, b.Picks > drawn)
+		}
+	}
+}
+
 // However much is offered, what passes a backend in overload must fall as it fills.
 func TestPassingShareFalls(t *testing.T) {
 	passed := func(n float64) (count int) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -56,7 +56,7 @@
 	grace              float64 // not listed any more, but used until then: the list came empty
 	launched           float64
 	own, ownLag, ownAt float64 // this node's attempts in flight; the same, at about the time of the latest report
-	typical, chance    float64 // service time of its kind; part of this node's picks that a warm one of its kind serves
+	typical, chance    float64 // service time of its kind; part of this node's first draws that a warm one of its kind serves
 	kin                *kind
 }
 
@@ -79,6 +79,7 @@
 	tenants               []*tenant
 	part, now             float64 // this node's part of all traffic; latest time seen
 	helds                 bool    // the latest report told how many requests its server holds
+	latest, jump, began   float64 // first draws since the latest plan, and their rate lately; when its long memory was empty
 	planAt, tickAt, askAt float64 // when the latest plan was made, the next is due, and to ask for the list again (0: not)
 	out                   []Action
 	Totals
