--- a/internal/back/tunnel/opaque.go
+++ b/internal/back/tunnel/opaque.go
@@ -80,6 +80,9 @@
 	opening, cancel := context.WithTimeout(ctx, a.Wait)
 	defer cancel()
 	server := a.Server.(*back.Server)
+	if !a.Wanted() { // the connection itself is what a server sees of an attempt
+		return core.Result{Outcome: policy.Moot}
+	}
 	conn, err := b.Pool.Open(opening, server)
 	switch {
 	case errors.Is(err, back.ErrSockets):
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,8 +8,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
-	"net/netip"
 	"os"
 	"path/filepath"
 	"slices"
@@ -18,9 +16,7 @@
 
 	backtunnel "portstall/internal/back/tunnel"
 	"portstall/internal/cell"
-	"portstall/internal/contract"
 	"portstall/internal/front/tunnel"
-	"portstall/internal/message"
 )
 
 // File is the product's own file.
@@ -33,6 +29,7 @@
 	Health    *Health    `yaml:"health"`
 	Members   *Members   `yaml:"members"`
 	State     *State     `yaml:"state"`
+	Control   *Control   `yaml:"control"` // whence services, contracts, routes and pinned tenants come in place of this file
 
 	lined, marked bool // its text ends with the end of a line, and with YAML's mark for the end of a document
 }
@@ -40,18 +37,19 @@
 // Replaces tells whether the file can take the place of one in force. A part of a YAML file is often a file as well, of which
 // the rest is missing: one that is being written, or was cut off, must not take contracts away.
 func (f *File) Replaces(old *File) error {
-	parts := func(f *File) [8]bool {
-		return [...]bool{f.Services != nil, f.Contracts != nil, f.Parts != "", f.Tunnels != nil, f.Cells != nil, f.Health != nil, f.Members != nil, f.State != nil}
+	parts := func(f *File) [9]bool {
+		return [...]bool{f.Services != nil, f.Contracts != nil, f.Parts != "", f.Tunnels != nil, f.Cells != nil, f.Health != nil, f.Members != nil, f.State != nil,
+			f.Control != nil}
 	}
 	switch {
-	case parts(f) == [8]bool{} && parts(old) != [8]bool{}:
+	case parts(f) == [9]bool{} && parts(old) != [9]bool{}:
 		return errors.New("nothing is in it")
 	case old.lined && !f.lined:
 		return errors.New("its last line has no end: it is not whole")
 	case old.marked && !f.marked:
 		return errors.New("it does not end with the line \"...\", as the one in force does: it is not whole")
 	}
-	return nil
+	return f.Control.replaces(old.Control)
 }
 
 // Cells give each tenant a subset of the web servers of its own, spread over zones and pods.
@@ -67,20 +65,20 @@
 
 // Pinned is a tenant whose web servers are those of some pods.
 type Pinned struct {
-	Tenant string  `yaml:"tenant"`
-	Pods   []int64 `yaml:"pods"` // discovery's cells
-	Moves  []Move  `yaml:"moves"`
+	Tenant string  `yaml:"tenant" json:"tenant,omitzero"`
+	Pods   []int64 `yaml:"pods" json:"pods,omitzero"` // discovery's cells
+	Moves  []Move  `yaml:"moves" json:"moves,omitzero"`
 }
 
 // Move takes a pinned tenant to other pods.
 type Move struct {
-	To      []int64       `yaml:"to"`
-	Keys    []float64     `yaml:"keys"` // from and below, as parts of all keys: those alone; none: all requests
-	Start   time.Time     `yaml:"start"`
-	Prepare time.Duration `yaml:"prepare"` // 10 s
-	Both    time.Duration `yaml:"both"`
-	Stop    time.Time     `yaml:"stop"` // it stays as it is then
-	Back    time.Time     `yaml:"back"` // all goes back
+	To      []int64       `yaml:"to" json:"to,omitzero"`
+	Keys    []float64     `yaml:"keys" json:"keys,omitzero"` // from and below, as parts of all keys: those alone; none: all requests
+	Start   time.Time     `yaml:"start" json:"start,omitzero"`
+	Prepare time.Duration `yaml:"prepare" json:"prepare_ns,omitzero"` // 10 s
+	Both    time.Duration `yaml:"both" json:"both_ns,omitzero"`
+	Stop    time.Time     `yaml:"stop" json:"stop,omitzero"` // it stays as it is then
+	Back    time.Time     `yaml:"back" json:"back,omitzero"` // all goes back
 }
 
 // Terms is how tenants are placed and moved. An error is a *FieldError.
@@ -113,39 +111,15 @@
 			return bad(p+"tenant", "%q is missing or used twice", v.Tenant)
 		}
 		seen[v.Tenant] = true
-		tenant := cell.Tenant{Name: v.Tenant, Pods: v.Pods}
-		for k, m := range v.Moves {
-			if m.Start.IsZero() {
-				return bad(fmt.Sprintf("%smoves[%d].start", p, k), "missing")
-			}
-			move := cell.Move{To: m.To, Start: unix(m.Start), Prepare: m.Prepare, Both: m.Both, Stop: unix(m.Stop), Back: unix(m.Back)}
-			if move.Prepare == 0 {
-				move.Prepare = cell.LeastPrepare
-			}
-			if len(m.Keys) > 0 {
-				if len(m.Keys) != 2 {
-					return bad(fmt.Sprintf("%smoves[%d].keys", p, k), "is not of the form [from, below]")
-				}
-				move.From, move.Below = m.Keys[0], m.Keys[1]
-			}
-			tenant.Moves = append(tenant.Moves, move)
-		}
-		if field, why := tenant.Check(); field != "" {
-			return bad(p+field, "%s", why)
+		tenant, err := v.Ready("cells." + p)
+		if err != nil {
+			return t, err
 		}
 		t.Tenants = append(t.Tenants, tenant)
 	}
 	return t, nil
 }
 
-// unix is a time as the nodes' clocks tell it; 0 for none.
-func unix(t time.Time) time.Duration {
-	if t.IsZero() {
-		return 0
-	}
-	return time.Duration(t.UnixNano())
-}
-
 // Tunnels are the listeners on which clients ask for tunnels, and what they may ask for.
 type Tunnels struct {
 	SOCKS5  string  `yaml:"socks5"`  // host:port; none: SOCKS5 is not spoken
@@ -172,61 +146,16 @@
 
 // Route is a name and port that clients may ask for, and the service that answers there.
 type Route struct {
-	Host    string `yaml:"host"`
-	Port    uint16 `yaml:"port"`
-	Service string `yaml:"service"`
+	Host    string `yaml:"host" json:"host,omitzero"`
+	Port    uint16 `yaml:"port" json:"port,omitzero"`
+	Service string `yaml:"service" json:"service,omitzero"`
 
-	Kind  string        `yaml:"kind"`  // http (the default): requests of our own protocol; opaque: whatever the two sides speak
-	Class string        `yaml:"class"` // of an opaque tunnel
-	Idle  time.Duration `yaml:"idle"`  // an opaque one ends after this without a byte; 1 min
-	Total time.Duration `yaml:"total"` // and at most this after its opening; 1 h
-	Stall time.Duration `yaml:"stall"` // or when the server says nothing to the client's latest for this long; 0: it may
-	Drain time.Duration `yaml:"drain"` // or this long after its server or the node is told to drain; 30 s
-}
-
-// tunnel is a route ready for use, with what was not given filled in.
-func (r *Route) tunnel(path string) (tunnel.Route, error) {
-	out := tunnel.Route{Host: r.Host, Port: r.Port, Service: r.Service}
-	limits := []struct {
-		name  string
-		value time.Duration
-	}{{"idle", r.Idle}, {"total", r.Total}, {"stall", r.Stall}, {"drain", r.Drain}}
-	for _, l := range limits {
-		most := 24 * time.Hour
-		if l.name == "drain" {
-			most = time.Minute // a process that is told to end waits no longer for anything
-		}
-		if l.value < 0 || l.value > most {
-			return out, &FieldError{path + l.name, fmt.Sprintf("%s is outside 0 to %s", l.value, most)}
-		}
-		if l.value > 0 && r.Kind != "opaque" {
-			return out, &FieldError{path + l.name, "is for opaque routes only"}
-		}
-	}
-	switch r.Kind {
-	case "", "http":
-		if r.Class != "" {
-			return out, &FieldError{path + "class", "is for opaque routes only: each request names its own"}
-		}
-		return out, nil
-	case "opaque":
-	default:
-		return out, &FieldError{path + "kind", fmt.Sprintf("%q is neither http nor opaque", r.Kind)}
-	}
-	if r.Class == "" {
-		return out, &FieldError{path + "class", "missing: an opaque tunnel is a request of some class"}
-	}
-	out.Opaque, out.Class = true, r.Class
-	out.Limits = message.Limits{Idle: r.Idle, Total: r.Total, Stall: r.Stall, Drain: r.Drain}
-	for _, d := range []struct {
-		value *time.Duration
-		usual time.Duration
-	}{{&out.Limits.Idle, time.Minute}, {&out.Limits.Total, time.Hour}, {&out.Limits.Drain, 30 * time.Second}} {
-		if *d.value == 0 {
-			*d.value = d.usual
-		}
-	}
-	return out, nil
+	Kind  string        `yaml:"kind" json:"kind,omitzero"`      // http (the default): requests of our own protocol; opaque: whatever the two sides speak
+	Class string        `yaml:"class" json:"class,omitzero"`    // of an opaque tunnel
+	Idle  time.Duration `yaml:"idle" json:"idle_ns,omitzero"`   // an opaque one ends after this without a byte; 1 min
+	Total time.Duration `yaml:"total" json:"total_ns,omitzero"` // and at most this after its opening; 1 h
+	Stall time.Duration `yaml:"stall" json:"stall_ns,omitzero"` // or when the server says nothing to the client's latest for this long; 0: it may
+	Drain time.Duration `yaml:"drain" json:"drain_ns,omitzero"` // or this long after its server or the node is told to drain; 30 s
 }
 
 // Way is how the web servers are reached whose ids fit a pattern.
@@ -293,7 +222,7 @@
 	}
 	var routes []tunnel.Route
 	for i := range t.Routes {
-		r, err := t.Routes[i].tunnel(fmt.Sprintf("tunnels.routes[%d].", i))
+		r, err := t.Routes[i].Ready(fmt.Sprintf("tunnels.routes[%d].", i))
 		if err != nil {
 			return nil, err
 		}
@@ -312,53 +241,53 @@
 
 // Service is what a team offers: a set of classes.
 type Service struct {
-	Name    string  `yaml:"name"`
-	Classes []Class `yaml:"classes"`
+	Name    string  `yaml:"name" json:"name,omitzero"`
+	Classes []Class `yaml:"classes" json:"classes,omitzero"`
 }
 
 // Class names a class, and what repeating it does where the file is to be checked for that: safe, keyed or unsafe.
 type Class struct {
-	Name   string `yaml:"name"`
-	Effect string `yaml:"effect"`
+	Name   string `yaml:"name" json:"name,omitzero"`
+	Effect string `yaml:"effect" json:"effect,omitzero"`
 }
 
 // Contract says who may call what, at what rate, and within what budget. Figures are for all nodes together; nought or
 // nothing means no bound, but for work.guaranteed.
 type Contract struct {
-	Name        string    `yaml:"name"`
-	Match       []Match   `yaml:"match"`    // any of them; none: for whoever no other contract is for
-	Services    []string  `yaml:"services"` // none: all classes
-	Rate        float64   `yaml:"rate"`     // requests a second
-	Burst       float64   `yaml:"burst"`    // and how many at once; a second's rate where it is not given
-	InFlight    int       `yaml:"in_flight"`
-	Bandwidth   float64   `yaml:"bandwidth"` // bytes a second through opaque tunnels, both ways together
-	Attempts    *Attempts `yaml:"attempts"`
-	Retries     []string  `yaml:"retries"` // classes that may be sent more than once; not given: as each class allows
-	Work        Work      `yaml:"work"`
-	Criticality string    `yaml:"criticality"` // critical, high, normal or sheddable
-	Weight      *float64  `yaml:"weight"`      // of its part in what others leave unused; 1
-	Lends       *float64  `yaml:"lends"`       // part of its unused guarantee that others may have; 1
+	Name        string    `yaml:"name" json:"name,omitzero"`
+	Match       []Match   `yaml:"match" json:"match,omitzero"`       // any of them; none: for whoever no other contract is for
+	Services    []string  `yaml:"services" json:"services,omitzero"` // none: all classes
+	Rate        float64   `yaml:"rate" json:"rate,omitzero"`         // requests a second
+	Burst       float64   `yaml:"burst" json:"burst,omitzero"`       // and how many at once; a second's rate where it is not given
+	InFlight    int       `yaml:"in_flight" json:"in_flight,omitzero"`
+	Bandwidth   float64   `yaml:"bandwidth" json:"bandwidth,omitzero"` // bytes a second through opaque tunnels, both ways together
+	Attempts    *Attempts `yaml:"attempts" json:"attempts,omitzero"`
+	Retries     []string  `yaml:"retries" json:"retries,omitzero"` // classes that may be sent more than once; not given: as each class allows
+	Work        Work      `yaml:"work" json:"work,omitzero"`
+	Criticality string    `yaml:"criticality" json:"criticality,omitzero"` // critical, high, normal or sheddable
+	Weight      *float64  `yaml:"weight" json:"weight,omitzero"`           // of its part in what others leave unused; 1
+	Lends       *float64  `yaml:"lends" json:"lends,omitzero"`             // part of its unused guarantee that others may have; 1
 }
 
 // Match is one way to be known. All that is given must hold.
 type Match struct {
-	Tenant string `yaml:"tenant"`
-	Header string `yaml:"header"` // Name: value
-	From   string `yaml:"from"`   // address or CIDR range
-	Token  string `yaml:"token_sha256"`
+	Tenant string `yaml:"tenant" json:"tenant,omitzero"`
+	Header string `yaml:"header" json:"header,omitzero"` // Name: value
+	From   string `yaml:"from" json:"from,omitzero"`     // address or CIDR range
+	Token  string `yaml:"token_sha256" json:"token_sha256,omitzero"`
 }
 
 // Attempts bounds further attempts and clients' marked repeats together.
 type Attempts struct {
-	Ratio  float64       `yaml:"ratio"`  // as a part of first tries
-	Window time.Duration `yaml:"window"` // over which both are counted; 10 s
-	Floor  float64       `yaml:"floor"`  // and so many a second in any case
+	Ratio  float64       `yaml:"ratio" json:"ratio,omitzero"`      // as a part of first tries
+	Window time.Duration `yaml:"window" json:"window_ns,omitzero"` // over which both are counted; 10 s
+	Floor  float64       `yaml:"floor" json:"floor,omitzero"`      // and so many a second in any case
 }
 
 // Work is in server-seconds a second: about how many requests it keeps at servers.
 type Work struct {
-	Guaranteed float64 `yaml:"guaranteed"`
-	Limit      float64 `yaml:"limit"`
+	Guaranteed float64 `yaml:"guaranteed" json:"guaranteed,omitzero"`
+	Limit      float64 `yaml:"limit" json:"limit,omitzero"`
 }
 
 // Load reads the file at path. An error names file, line and field.
@@ -382,6 +311,11 @@
 }
 
 func (f *File) check() error {
+	if f.Control != nil {
+		if err := f.Control.check(f); err != nil {
+			return err
+		}
+	}
 	if f.Tunnels != nil {
 		if _, err := f.Tunnels.Table(); err != nil {
 			return err
@@ -415,148 +349,3 @@
 	_, err := Compile(f, nil)
 	return err
 }
-
-// Compile makes the table of contracts. Effects are those of the classes that the node serves, by name; with none, what
-// the file says itself is used. It returns nil where the file has no contracts. An error is a *FieldError.
-func Compile(f *File, effects map[string]string) (*contract.Table, error) {
-	known := map[string]string{}
-	services := map[string][]string{}
-	for i, s := range f.Services {
-		p := fmt.Sprintf("services[%d].", i)
-		if _, dup := services[s.Name]; dup || s.Name == "" {
-			return nil, &FieldError{p + "name", fmt.Sprintf("%q is missing or used twice", s.Name)}
-		}
-		services[s.Name] = nil
-		for k, c := range s.Classes {
-			p := fmt.Sprintf("%sclasses[%d].", p, k)
-			if c.Name == "" {
-				return nil, &FieldError{p + "name", "missing"}
-			}
-			if c.Effect != "" && c.Effect != "safe" && c.Effect != "keyed" && c.Effect != "unsafe" {
-				return nil, &FieldError{p + "effect", fmt.Sprintf("%q is none of safe, keyed, unsafe", c.Effect)}
-			}
-			if e, ok := effects[c.Name]; ok && c.Effect != "" && e != c.Effect {
-				return nil, &FieldError{p + "effect", fmt.Sprintf("%s, but the node's settings say that %s is %s", c.Effect, c.Name, e)}
-			}
-			if c.Effect != "" {
-				known[c.Name] = c.Effect
-			}
-			services[s.Name] = append(services[s.Name], c.Name)
-		}
-	}
-	for name, e := range effects {
-		known[name] = e
-	}
-	if f.Parts != "" && f.Parts != "seen" && f.Parts != "even" {
-		return nil, &FieldError{"parts", fmt.Sprintf("%q is neither seen nor even", f.Parts)}
-	}
-	if len(f.Contracts) == 0 {
-		return nil, nil
-	}
-	var terms []contract.Terms
-	for i := range f.Contracts {
-		t, err := f.Contracts[i].terms(fmt.Sprintf("contracts[%d].", i), services, known)
-		if err != nil {
-			return nil, err
-		}
-		terms = append(terms, t)
-	}
-	table, err := contract.NewTable(terms)
-	if err != nil {
-		field, why, _ := strings.Cut(err.Error(), ": ")
-		return nil, &FieldError{field, why}
-	}
-	table.EvenParts = f.Parts == "even"
-	return table, nil
-}
-
-func (c *Contract) terms(path string, services map[string][]string, effects map[string]string) (contract.Terms, error) {
-	bad := func(field, why string, args ...any) (contract.Terms, error) {
-		return contract.Terms{}, &FieldError{path + field, fmt.Sprintf(why, args...)}
-	}
-	t := contract.Terms{Name: c.Name, Rate: c.Rate, Burst: c.Burst, InFlight: c.InFlight, Guaranteed: c.Work.Guaranteed,
-		Limit: c.Work.Limit, Bandwidth: c.Bandwidth, Weight: 1, Lends: 1, Criticality: contract.Normal}
-	if t.Rate > 0 && t.Burst == 0 {
-		t.Burst = max(1, t.Rate)
-	}
-	if c.Weight != nil {
-		t.Weight = *c.Weight
-	}
-	if c.Lends != nil {
-		t.Lends = *c.Lends
-	}
-	if c.Criticality != "" {
-		rank, ok := contract.Criticalities[c.Criticality]
-		if !ok {
-			return bad("criticality", "%q is none of critical, high, normal, sheddable", c.Criticality)
-		}
-		t.Criticality = rank
-	}
-	if a := c.Attempts; a != nil {
-		t.Bounded, t.Ratio, t.Window, t.Floor = true, a.Ratio, a.Window, a.Floor
-		if t.Window == 0 {
-			t.Window = 10 * time.Second
-		}
-	}
-	for i, name := range c.Services {
-		classes, ok := services[name]
-		if !ok {
-			return bad(fmt.Sprintf("services[%d]", i), "%q is no service of this file", name)
-		}
-		if t.Classes == nil {
-			t.Classes = map[string]bool{}
-		}
-		for _, class := range classes {
-			t.Classes[class] = true
-		}
-	}
-	if c.Retries != nil {
-		t.Retries = map[string]bool{}
-	}
-	for i, class := range c.Retries {
-		field := fmt.Sprintf("retries[%d]", i)
-		switch {
-		case effects[class] == "unsafe":
-			return bad(field, "contract %q allows retries of class %q, which is unsafe: it must never run twice", c.Name, class)
-		case t.Classes != nil && !t.Classes[class]:
-			return bad(field, "contract %q allows retries of class %q, which none of its services has", c.Name, class)
-		}
-		t.Retries[class] = true
-	}
-	for i, m := range c.Match {
-		p := fmt.Sprintf("match[%d]", i)
-		out := contract.Match{Tenant: m.Tenant}
-		if m == (Match{}) {
-			return bad(p, "is empty; a contract for everybody else has no match at all")
-		}
-		if m.Header != "" {
-			name, value, ok := strings.Cut(m.Header, ":")
-			if out.Header, out.Value = http.CanonicalHeaderKey(strings.TrimSpace(name)), strings.TrimSpace(value); !ok || out.Value == "" || out.Header == "" {
-				return bad(p+".header", "%q is not of the form Name: value", m.Header)
-			}
-		}
-		if m.From != "" {
-			prefix, err := netip.ParsePrefix(m.From)
-			if err != nil {
-				addr, e := netip.ParseAddr(m.From)
-				if e != nil {
-					return bad(p+".from", "%q is neither an address nor a range", m.From)
-				}
-				prefix = netip.PrefixFrom(addr, addr.BitLen())
-			}
-			out.From = prefix.Masked()
-		}
-		if m.Token != "" {
-			d, err := hex.DecodeString(m.Token)
-			if err != nil || len(d) != len(out.Token) {
-				return bad(p+".token_sha256", "not the 64 hex digits of a SHA-256")
-			}
-			copy(out.Token[:], d)
-		}
-		t.Matches = append(t.Matches, out)
-	}
-	if field, why := t.Check(); field != "" {
-		return bad(field, "%s", why)
-	}
-	return t, nil
-}
--- a/internal/config/yaml.go
+++ b/internal/config/yaml.go
@@ -15,11 +15,7 @@
 // check is placed by the text.
 func Decode(name string, text []byte, v any, check func() error) error {
 	if err := yaml.UnmarshalWithOptions(text, v, yaml.Strict(), yaml.DisallowUnknownField()); err != nil {
-		var at yaml.Error
-		if errors.As(err, &at) && at.GetToken() != nil {
-			return fmt.Errorf("%s:%d: %s", name, at.GetToken().Position.Line, at.GetMessage())
-		}
-		return fmt.Errorf("%s%s: %w", name, durationAt(text, err), err)
+		return placed(name, text, err)
 	}
 	err := check()
 	var field *FieldError
@@ -70,3 +66,29 @@
 }
 
 func (e *FieldError) Error() string { return e.Path + ": " + e.Why }
+
+// ParsePart reads a file that may hold any part of the product's file, of which the rest is in others: strict YAML, in which what is
+// put together may be missing. Nothing is checked beyond the form. Line is where a value stands by its path, as in contracts[3].rate;
+// 0 where the text does not have it. An error names file and line.
+func ParsePart(name string, text []byte) (f *File, line func(path string) int, err error) {
+	f = &File{}
+	at := func(string) int { return 0 }
+	file, err := parser.ParseBytes(text, 0)
+	if err == nil && len(file.Docs) > 0 && file.Docs[0].Body != nil {
+		at = func(path string) int { return lineOf(file, path) }
+		err = yaml.NodeToValue(file.Docs[0].Body, f, yaml.Strict(), yaml.DisallowUnknownField())
+	}
+	if err != nil {
+		return nil, nil, placed(name, text, err)
+	}
+	return f, at, nil
+}
+
+// placed is an error of the library with file and line.
+func placed(name string, text []byte, err error) error {
+	var at yaml.Error
+	if errors.As(err, &at) && at.GetToken() != nil {
+		return fmt.Errorf("%s:%d: %s", name, at.GetToken().Position.Line, at.GetMessage())
+	}
+	return fmt.Errorf("%s%s: %w", name, durationAt(text, err), err)
+}
--- a/internal/contract/contract.go
+++ b/internal/contract/contract.go
@@ -95,88 +95,82 @@
 	return "", ""
 }
 
-// Table is a set of contracts, ready to be looked up. It is immutable and safe for concurrent use.
+// Table is a set of contracts, ready to be looked up. Its numbers are those of slots: a contract keeps its own as long as it is
+// there, and one that comes later may have that of one that has gone. A table that no ledger changes is safe for concurrent use;
+// one that a Ledger has is that ledger's, is changed in place by its Change, and goes by its lock.
 type Table struct {
 	EvenParts bool // nodes hand out even parts whatever they see; set before it is in force
 
-	terms    []Terms
-	tenants  map[string][]candidate
-	headers  map[header][]candidate
-	names    []string // headers that some match asks for
-	tokens   map[[sha256.Size]byte][]candidate
-	ranges   map[netip.Prefix][]candidate
-	lengths  []int // of the prefixes, the longest first; 128 and less for IPv6, in its own space
-	lengths6 []int
-	fallback int // the default contract, -1 where there is none
+	terms    []Terms        // by slot; without a name: free
+	free     []int          // slots
+	slots    map[string]int // by the names of contracts
+	tenants  map[string]*candidate
+	headers  map[header]*candidate
+	names    counts[string] // headers that some match asks for
+	tokens   map[[sha256.Size]byte]*candidate
+	ranges   map[netip.Prefix]*candidate
+	lengths  counts[int] // of the prefixes
+	lengths6 counts[int] // the same for IPv6, in its own space
+	fallback int         // the default contract, -1 where there is none
+	byName   bool        // it was changed in place: of two matches that are equally specific the contract counts whose name sorts first
 }
 
 type header struct{ name, value string }
 
 // candidate is a match that holds as far as its most specific field goes.
 type candidate struct {
-	contract int
+	contract int32
+	rank     int32
 	match    *Match
-	rank     int
+	next     *candidate // of the same field; nil: none
 }
 
-// NewTable makes a table. The terms must be sound (Check); two contracts of one name, two defaults, or two that are for
-// just the same callers are an error that names both.
+// counts are values in use, with how many use them, in the order in which they came.
+type counts[T comparable] struct {
+	values []T
+	n      []int
+}
+
+func (c *counts[T]) add(v T) {
+	i := slices.Index(c.values, v)
+	if i < 0 {
+		i, c.values, c.n = len(c.values), append(c.values, v), append(c.n, 0)
+	}
+	c.n[i]++
+}
+
+func (c *counts[T]) remove(v T) {
+	i := slices.Index(c.values, v)
+	if c.n[i]--; c.n[i] == 0 {
+		c.values, c.n = slices.Delete(c.values, i, i+1), slices.Delete(c.n, i, i+1)
+	}
+}
+
+// NewTable makes a table. The terms must be sound (Terms.Check); two contracts of one name, two defaults, or two that are for
+// just the same callers are an error that names both. Of two matches that are equally specific the first one's contract counts.
 func NewTable(terms []Terms) (*Table, error) {
-	t := &Table{terms: slices.Clone(terms), tenants: map[string][]candidate{}, headers: map[header][]candidate{},
-		tokens: map[[sha256.Size]byte][]candidate{}, ranges: map[netip.Prefix][]candidate{}, fallback: -1}
-	names, matches := map[string]int{}, map[Match]int{}
-	lengths, lengths6 := map[int]bool{}, map[int]bool{}
+	t := &Table{terms: slices.Clone(terms), slots: make(map[string]int, len(terms)), tenants: map[string]*candidate{},
+		headers: map[header]*candidate{}, tokens: map[[sha256.Size]byte]*candidate{}, ranges: map[netip.Prefix]*candidate{}, fallback: -1}
 	for i := range t.terms {
 		c := &t.terms[i]
-		if o, dup := names[c.Name]; dup {
+		if o, dup := t.slots[c.Name]; dup {
 			return nil, fmt.Errorf("contracts[%d] and contracts[%d]: both are named %q", o, i, c.Name)
 		}
-		names[c.Name] = i
-		if len(c.Matches) == 0 {
-			if t.fallback >= 0 {
-				return nil, fmt.Errorf("contracts[%d] (%s) and contracts[%d] (%s): both are for everybody", t.fallback,
-					t.terms[t.fallback].Name, i, c.Name)
-			}
-			t.fallback = i
+		if len(c.Matches) == 0 && t.fallback >= 0 {
+			return nil, fmt.Errorf("contracts[%d] (%s) and contracts[%d] (%s): both are for everybody", t.fallback,
+				t.terms[t.fallback].Name, i, c.Name)
 		}
 		for k := range c.Matches {
 			m := &c.Matches[k]
-			if o, dup := matches[*m]; dup && o != i {
-				return nil, fmt.Errorf("contracts[%d] (%s) and contracts[%d] (%s): both are for the same callers", o, t.terms[o].Name, i, c.Name)
-			}
-			matches[*m] = i
-			cand := candidate{i, m, m.rank()}
-			switch {
-			case m.Token != [sha256.Size]byte{}:
-				t.tokens[m.Token] = append(t.tokens[m.Token], cand)
-			case m.Header != "":
-				h := header{m.Header, m.Value}
-				t.headers[h] = append(t.headers[h], cand)
-				if !slices.Contains(t.names, m.Header) {
-					t.names = append(t.names, m.Header)
-				}
-			case m.Tenant != "":
-				t.tenants[m.Tenant] = append(t.tenants[m.Tenant], cand)
-			case m.From.IsValid():
-				t.ranges[m.From] = append(t.ranges[m.From], cand)
-				if m.From.Addr().Is4() {
-					lengths[m.From.Bits()] = true
-				} else {
-					lengths6[m.From.Bits()] = true
-				}
-			default:
+			if m.rank() == 0 {
 				return nil, fmt.Errorf("contracts[%d] (%s): match[%d]: is empty", i, c.Name, k)
 			}
+			if o := t.owner(m); o >= 0 {
+				return nil, fmt.Errorf("contracts[%d] (%s) and contracts[%d] (%s): both are for the same callers", o, t.terms[o].Name, i, c.Name)
+			}
 		}
+		t.enter(i)
 	}
-	for n := range lengths {
-		t.lengths = append(t.lengths, n)
-	}
-	for n := range lengths6 {
-		t.lengths6 = append(t.lengths6, n)
-	}
-	slices.Sort(t.lengths)
-	slices.Sort(t.lengths6)
 	return t, nil
 }
 
@@ -213,48 +207,55 @@
 	return !m.From.IsValid() || c.From.IsValid() && m.From.Contains(c.From.Unmap())
 }
 
-// Len is the number of contracts, Terms the i-th one's.
+// Len is the number of slots, Terms what the i-th one's contract states: one without a name is free. Count is the number of contracts.
 func (t *Table) Len() int           { return len(t.terms) }
 func (t *Table) Terms(i int) *Terms { return &t.terms[i] }
+func (t *Table) Count() int         { return len(t.slots) }
+
+// Slot is the number of the contract of a name.
+func (t *Table) Slot(name string) (i int, known bool) {
+	i, known = t.slots[name]
+	return i, known
+}
 
 // Find is the number of the contract that is for a caller: the most specific one, else the default, else -1. It does not
 // allocate.
 func (t *Table) Find(c *Caller) int {
-	best, rank := t.fallback, -1
+	best, rank := t.fallback, int32(-1)
 	var digest [sha256.Size]byte
 	if c.Token != "" && len(t.tokens) > 0 {
 		digest = sha256.Sum256([]byte(c.Token))
-		best, rank = better(t.tokens[digest], c, &digest, best, rank)
+		best, rank = t.better(t.tokens[digest], c, &digest, best, rank)
 	}
 	if c.Header != nil {
-		for _, name := range t.names {
+		for _, name := range t.names.values {
 			if v := c.Header(name); v != "" {
-				best, rank = better(t.headers[header{name, v}], c, &digest, best, rank)
+				best, rank = t.better(t.headers[header{name, v}], c, &digest, best, rank)
 			}
 		}
 	}
 	if c.Tenant != "" {
-		best, rank = better(t.tenants[c.Tenant], c, &digest, best, rank)
+		best, rank = t.better(t.tenants[c.Tenant], c, &digest, best, rank)
 	}
 	if c.From.IsValid() && len(t.ranges) > 0 {
 		from := c.From.Unmap()
-		lengths := t.lengths
+		lengths := t.lengths.values
 		if from.Is6() {
-			lengths = t.lengths6
+			lengths = t.lengths6.values
 		}
 		for _, n := range lengths {
 			if p, err := from.Prefix(n); err == nil {
-				best, rank = better(t.ranges[p], c, &digest, best, rank)
+				best, rank = t.better(t.ranges[p], c, &digest, best, rank)
 			}
 		}
 	}
 	return best
 }
 
-func better(from []candidate, c *Caller, digest *[sha256.Size]byte, best, rank int) (int, int) {
-	for i := range from {
-		if k := &from[i]; k.rank > rank && k.match.holds(c, digest) {
-			best, rank = k.contract, k.rank
+func (t *Table) better(k *candidate, c *Caller, digest *[sha256.Size]byte, best int, rank int32) (int, int32) {
+	for ; k != nil; k = k.next {
+		if (k.rank > rank || k.rank == rank && t.byName && t.terms[k.contract].Name < t.terms[best].Name) && k.match.holds(c, digest) {
+			best, rank = int(k.contract), k.rank
 		}
 	}
 	return best, rank
--- a/internal/contract/ledger.go
+++ b/internal/contract/ledger.go
@@ -43,6 +43,8 @@
 	Borrowed   bool // it goes on what others leave unused, and is the first to go
 	RetryAfter time.Duration
 	Cost       float64 // server-seconds that it was charged
+
+	state *state // of the contract that it was let in by
 }
 
 const (
@@ -66,10 +68,12 @@
 	minHint    = 1e-4                   // seconds: no request is free
 	firstHint  = 0.05                   // cost of a request before any was measured and no hint was given
 	longAgo    = time.Hour              // RetryAfter is never longer
+	never      = math.MinInt64
 )
 
 // state is what is left of one contract at one node. All that refills does so when it is looked at.
 type state struct {
+	slot     int           // of its contract; forgotten: nothing of it counts any more
 	at       time.Duration // up to when it is refilled
 	used     time.Duration // when it last had a request
 	active   bool
@@ -96,14 +100,15 @@
 // for concurrent use. Times must not go backwards; one that does is taken for the latest that was seen.
 type Ledger struct {
 	table    *Table
-	states   []*state // by contract; nil before it is first used
+	states   []*state // by slot; nil before its contract is first used
 	active   []int
+	removed  removals // what contracts that have gone had left
 	now      time.Duration
 	tickAt   time.Duration
 	even     float64       // one over the number of nodes
 	part     float64       // of the contracts that this node hands out
 	sharedAt time.Duration // when that was last corrected
-	fill     float64       // of its budgets that a contract has when it is first used
+	emptied  time.Duration // from when on contracts that were not used yet refill from nothing; never: they are full
 	portion  float64       // of the node's part that this process hands out
 	allowed  float64       // server-seconds a second that all may use together; infinite at ease
 	inUse    float64       // that they do use, smoothed
@@ -115,7 +120,7 @@
 
 // NewLedger opens the books at the given time, for a node that hands out an even part of each contract until Share corrects it.
 func NewLedger(t *Table, now time.Duration, part float64) *Ledger {
-	return &Ledger{table: t, states: make([]*state, t.Len()), now: now, tickAt: now, even: part, part: part, sharedAt: now, fill: 1, portion: 1, allowed: math.Inf(1)}
+	return &Ledger{table: t, states: make([]*state, t.Len()), now: now, tickAt: now, even: part, part: part, sharedAt: now, emptied: never, portion: 1, allowed: math.Inf(1)}
 }
 
 // Left is what is left of a contract, for a process that goes on in this one's place.
@@ -124,51 +129,74 @@
 	Tokens, Work, Bytes, Kept float64 // as in Level; below 0: debt
 	Firsts, Furthers          float64
 	Cost, Demand              float64
+	Gone                      *Gone `cbor:",omitempty"` // nil: it is in force
 }
 
-// Left tells what is left of all that were used.
+// Left tells what is left of all that were used, and of those that are remembered of the removed ones, the oldest first.
 func (l *Ledger) Left(now time.Duration) (all []Left) {
+	now = l.clock(now)
 	for i, s := range l.states {
 		if s != nil {
-			c, s := l.state(i, l.clock(now))
-			all = append(all, Left{c.Name, s.tokens, s.work, s.bytes, s.kept, s.firsts, s.furthers, s.cost, s.demand})
+			c, s := l.state(i, now)
+			all = append(all, s.left(c.Name))
 		}
 	}
-	return all
+	return append(all, l.removed.left(now, l)...)
+}
+
+func (s *state) left(name string) Left {
+	return Left{Name: name, Tokens: s.tokens, Work: s.work, Bytes: s.bytes, Kept: s.kept, Firsts: s.firsts, Furthers: s.furthers, Cost: s.cost, Demand: s.demand}
 }
 
 // Resume goes on from what another process had left. Without credit only debts count, as that process may have spent since
-// what it had left; and contracts that it does not name begin with nothing, so that none has a second burst.
+// what it had left; and contracts that it does not name begin with nothing, so that none has a second burst. What it had left of a
+// contract that is not in force here is remembered, as of one that was removed here.
 func (l *Ledger) Resume(now time.Duration, left []Left, credit bool) {
+	now = l.clock(now)
 	l.Empty(now)
-	for _, o := range left {
-		i := slices.IndexFunc(l.table.terms, func(c Terms) bool { return c.Name == o.Name })
-		if i < 0 {
-			continue
+	for k := range left {
+		o := &left[k]
+		if i, known := l.table.slots[o.Name]; known {
+			c, s := l.state(i, now)
+			l.resume(c, s, o, credit)
+		} else if c, s := l.removed.recall(now, o); s != nil {
+			l.resume(c, s, o, credit)
+			s.demand = 0 // it takes no part in lending
 		}
-		c, s := l.state(i, l.clock(now))
-		most := func(v, most float64) float64 {
-			if !credit {
-				most = 0
-			}
-			return min(v, most)
+	}
+	l.removed.prune(now)
+}
+
+func (l *Ledger) resume(c *Terms, s *state, o *Left, credit bool) {
+	most := func(v, most float64) float64 {
+		if !credit {
+			most = 0
 		}
-		s.tokens, s.work = most(o.Tokens, l.burst(c)), most(o.Work, c.Limit*l.part)
-		s.bytes, s.kept = most(o.Bytes, c.Bandwidth*l.part), most(o.Kept, c.Guaranteed*l.part*saved.Seconds())
-		s.firsts, s.furthers, s.cost, s.demand = o.Firsts, o.Furthers, o.Cost, o.Demand
+		return min(v, most)
 	}
+	s.tokens, s.work = most(o.Tokens, l.burst(c)), most(o.Work, c.Limit*l.part)
+	s.bytes, s.kept = most(o.Bytes, c.Bandwidth*l.part), most(o.Kept, c.Guaranteed*l.part*saved.Seconds())
+	s.firsts, s.furthers, s.cost, s.demand = o.Firsts, o.Furthers, o.Cost, o.Demand
 }
 
-// Empty takes all that is left unused: another process has it now, or had. Contracts that were not used yet begin with nothing, so
-// that a hand-over gives nobody a second burst.
+// Empty takes all that is left unused: another process has it now, or had. Contracts that were not used yet begin with nothing, and
+// refill from then on, so that a hand-over gives nobody a second burst.
 func (l *Ledger) Empty(now time.Duration) {
-	l.fill = 0
+	l.emptied = l.clock(now)
 	for i, s := range l.states {
 		if s != nil {
 			_, s = l.state(i, l.clock(now))
-			s.tokens, s.work, s.bytes, s.kept = min(0, s.tokens), min(0, s.work), min(0, s.bytes), min(0, s.kept)
+			s.empty()
 		}
 	}
+	for _, r := range l.removed.byName {
+		l.refill(&r.terms, r.state, l.now)
+		r.state.empty()
+	}
+}
+
+func (s *state) empty() {
+	s.tokens, s.work, s.bytes, s.kept = min(0, s.tokens), min(0, s.work), min(0, s.bytes), min(0, s.kept)
 }
 
 // Portion sets which portion of this node's part this process hands out, where another one of the node hands out the rest;
@@ -190,10 +218,10 @@
 			old[l.table.terms[i].Name] = s
 		}
 	}
-	l.table, l.states, l.active = t, make([]*state, t.Len()), nil
+	l.table, l.states, l.active, l.removed = t, make([]*state, t.Len()), nil, removals{}
 	for i := range t.terms {
 		if s := old[t.terms[i].Name]; s != nil {
-			l.states[i] = s
+			l.states[i], s.slot = s, i
 			if s.active {
 				l.active = append(l.active, i)
 			}
@@ -229,10 +257,20 @@
 func (l *Ledger) state(i int, now time.Duration) (*Terms, *state) {
 	c, s := &l.table.terms[i], l.states[i]
 	if s == nil {
-		s = &state{at: now, tokens: l.burst(c) * l.fill, work: c.Limit * l.part * l.fill,
-			bytes: c.Bandwidth * l.part * l.fill, kept: c.Guaranteed * l.part * saved.Seconds() * l.fill, scale: 1}
+		s = &state{slot: i, at: now, tokens: l.burst(c), work: c.Limit * l.part, bytes: c.Bandwidth * l.part,
+			kept: c.Guaranteed * l.part * saved.Seconds(), scale: 1}
+		if l.emptied != never {
+			s.at = l.emptied
+			s.empty()
+		}
 		l.states[i] = s
 	}
+	l.refill(c, s, now)
+	return c, s
+}
+
+// refill brings a state up to now.
+func (l *Ledger) refill(c *Terms, s *state, now time.Duration) {
 	if dt := (now - s.at).Seconds(); dt > 0 {
 		s.at = now
 		s.tokens = min(l.burst(c), s.tokens+c.Rate*l.part*dt)
@@ -249,7 +287,6 @@
 			s.firsts, s.furthers = s.firsts*f, s.furthers*f
 		}
 	}
-	return c, s
 }
 
 // clock is the time that counts: never earlier than one seen before.
@@ -283,7 +320,7 @@
 		v.RetryAfter = min(v.RetryAfter, longAgo)
 		return v
 	}
-	v.Cost = cost
+	v.Cost, v.state = cost, s
 	s.admitted++
 	s.inFlight++
 	if c.Rate > 0 {
@@ -383,23 +420,32 @@
 	return true
 }
 
-// index finds the contract that a request was let in by; -1: it has gone.
-func (l *Ledger) index(name string, v Verdict) int {
-	i := v.Contract
-	if i < 0 || i >= len(l.states) || l.table.terms[i].Name != name {
-		i = slices.IndexFunc(l.table.terms, func(c Terms) bool { return c.Name == name })
+// granted is the contract that a request was let in by, refilled up to now: the one that bears its name where it was removed and
+// made again, and what is remembered of one that has gone. Nil: nothing of it counts any more.
+func (l *Ledger) granted(now time.Duration, name string, v Verdict) (*Terms, *state) {
+	if s := v.state; s != nil {
+		if s.slot == forgotten {
+			return nil, nil
+		}
+		if r := l.removed.byName[name]; r != nil && r.state == s {
+			l.refill(&r.terms, s, now)
+			return &r.terms, s
+		}
+		if s.slot < len(l.states) && l.states[s.slot] == s {
+			return l.state(s.slot, now)
+		}
 	}
-	if i < 0 || l.states[i] == nil {
-		return -1
+	if i, known := l.table.slots[name]; known && l.states[i] != nil {
+		return l.state(i, now)
 	}
-	return i
+	return nil, nil
 }
 
 // Pace charges bytes of a tunnel to the contract that it was let in by, and tells how long it is to wait before it passes any
 // more. A contract that has gone bounds nothing.
 func (l *Ledger) Pace(now time.Duration, name string, v Verdict, bytes int) time.Duration {
-	i := l.index(name, v)
-	if i < 0 || l.table.terms[i].Bandwidth <= 0 {
+	i, known := l.table.slots[name]
+	if !known || l.states[i] == nil || l.table.terms[i].Bandwidth <= 0 {
 		return 0
 	}
 	c, s := l.state(i, l.clock(now))
@@ -408,13 +454,12 @@
 }
 
 // Done ends a request that was let in, and corrects its charge by the server-seconds that its attempts really took. Name
-// is that of the contract that it was let in by: one that has gone since is of no more interest.
+// is that of the contract that it was let in by: one that has gone and is not remembered is of no more interest.
 func (l *Ledger) Done(now time.Duration, name string, v Verdict, took float64) {
-	i := l.index(name, v)
-	if i < 0 {
+	c, s := l.granted(l.clock(now), name, v)
+	if s == nil {
 		return
 	}
-	c, s := l.state(i, l.clock(now))
 	s.inFlight = max(0, s.inFlight-1)
 	if took = max(0, min(took, 3600)); took > 0 { // one that was never sent tells nothing of the others
 		if s.cost == 0 {
--- a/internal/core/contracts.go
+++ b/internal/core/contracts.go
@@ -29,6 +29,22 @@
 	}
 }
 
+// Change puts a change of the contracts in force, in time that goes with what it changes. It must have been checked. The lock is
+// held.
+func (c *Core) Change(ch *contract.Change) {
+	if c.ledger == nil {
+		if len(ch.Put) == 0 {
+			return
+		}
+		t, _ := contract.NewTable(nil) // nothing can be wrong with none
+		c.ledger = contract.NewLedger(t, c.Now(), c.even)
+	}
+	c.ledger.Change(c.Now(), ch)
+}
+
+// bound tells whether contracts are in force.
+func (c *Core) bound() bool { return c.ledger != nil && c.ledger.Table().Count() > 0 }
+
 // Left is what is left of the contracts. The lock is held.
 func (c *Core) Left() []contract.Left {
 	if c.ledger == nil {
@@ -58,7 +74,7 @@
 
 // admit asks the contracts, and gives a request that they turn away its final answer.
 func (c *Core) admit(now time.Duration, r *Request) bool {
-	if c.ledger == nil {
+	if !c.bound() {
 		return true
 	}
 	c.ledger.Look(now, c.bal.Pressure())
@@ -92,8 +108,8 @@
 	if c.ledger == nil || r.grant.name == "" {
 		return true
 	}
-	i := r.grant.verdict.Contract
-	if t := c.ledger.Table(); i >= t.Len() || t.Terms(i).Name != r.grant.name {
+	i, known := c.ledger.Table().Slot(r.grant.name)
+	if !known {
 		return true // its contract has gone: requests under way keep what they came with, and it bounds nothing now
 	}
 	return c.ledger.Further(now, i, r.Class)
@@ -114,7 +130,7 @@
 func (c *Core) Explain(who *contract.Caller, class string, repeat bool) (contract.Verdict, contract.Level, error) {
 	c.Lock()
 	defer c.Unlock()
-	if c.ledger == nil {
+	if !c.bound() {
 		return contract.Verdict{}, contract.Level{}, ErrNoContracts
 	}
 	now, i := c.Now(), c.ledger.Table().Find(who)
@@ -138,8 +154,8 @@
 func (c *Core) Stats(levels int) Stats {
 	c.Lock()
 	defer c.Unlock()
-	s := Stats{Pressure: c.bal.Pressure(), Open: len(c.requests), Contracts: c.ledger != nil}
-	if c.ledger != nil {
+	s := Stats{Pressure: c.bal.Pressure(), Open: len(c.requests), Contracts: c.bound()}
+	if s.Contracts {
 		s.Allowed, s.InUse, s.Part = c.ledger.Allowed(), c.ledger.InUse(), c.ledger.Part()
 		s.Levels = c.ledger.Levels(c.Now(), levels)
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -88,6 +88,12 @@
 	// Left tells, without waiting, whether its client has left, though Gone may not have been called yet; nil: that can't be
 	// told. It is called from the attempts' goroutines.
 	Left func() bool
+	// Holds tells whether what the front looked up for it is still so; nil: it looked nothing up. It is called with the core's lock
+	// held, in the hold in which its contract and its cell are looked up. Where it is not so Begin takes nothing.
+	Holds func() bool
+	// Waits is called, without the core's lock, before Begin waits for a successor's word (0.2 s at most): a client may leave
+	// meanwhile. Nil: nothing is to be done then.
+	Waits func()
 
 	left     atomic.Bool // Gone was called
 	until    time.Duration
@@ -182,6 +188,7 @@
 	even     float64          // part of them that this node hands out to begin with
 	actions  []policy.Action
 	requests map[string]*Request // by the clients' ids
+	held     held                // when this process did not run
 	ids      handover.Ids        // those that other processes of this node have open
 	heir     Heir                // is asked before each request; nil: nobody is
 }
@@ -232,7 +239,8 @@
 	c.wg.Wait()
 }
 
-// Begin takes a request, unless one with its id is open. Its final answer comes on Answer.
+// Begin takes a request, unless one with its id is open or what its front looked up holds no longer. Its final answer comes on
+// Answer.
 func (c *Core) Begin(r *Request) bool {
 	c.Lock()
 	defer c.Unlock()
@@ -241,6 +249,9 @@
 	if verdict == handover.Ask {
 		heir := c.heir
 		c.Unlock()
+		if r.Waits != nil {
+			r.Waits()
+		}
 		verdict = heir.Claim(r.ID, now+r.Patience)
 		c.Lock()
 		c.ids.Answered(r.ID)
@@ -262,9 +273,12 @@
 		r.done <- Answer{Kind: Refused, RetryAfter: busyAfter}
 		return true
 	}
+	if r.Holds != nil && !r.Holds() {
+		return false
+	}
 	// The answer must be with the client when its time is up: the way there and back and the time that the
 	// request has spent here are off.
-	left := max(0, r.Patience-(now-r.Arrived)-c.transit)
+	left := max(0, r.Patience-(now-c.held.since(r.Arrived))-c.transit)
 	r.until, r.done = now+left, make(chan Answer, 1)
 	if !c.admit(now, r) {
 		return true
@@ -423,6 +437,7 @@
 			c.finish(a.ID, Answer{Kind: Failed})
 		case policy.ActTimer:
 			token := a.Token
+			c.held.timer(now, a.At)
 			c.clock.AfterFunc(a.At-now, func() { c.due(token) })
 		case policy.ActWatch:
 			c.roster.Watch()
--- a/internal/flow/socket.go
+++ b/internal/flow/socket.go
@@ -77,11 +77,31 @@
 	return left || err != nil
 }
 
+const (
+	// crowded is how many bytes may stand unread in a socket, behind a full reader, while its end is waited for. It is well under
+	// what shuts the window of one (72 KB and more on Linux, however small the pieces): before that its end comes behind them.
+	crowded = 16 << 10
+	// crowdedFor is how long they may stand there before they are thrown away: what is answered at once loses nothing, and the end
+	// is seen long before 0.1 s are over.
+	crowdedFor = 50 * time.Millisecond
+	// SpillMost is how much is thrown away: more than what a sender that has gone may have left in its own kernel (4 MB on Linux).
+	// Who sends so much ahead of an answer gets none waited for.
+	SpillMost = 8 << 20
+	// windowLeast is how many bytes stand unread at least in a socket whose window is shut: 72 KB and more were measured. What can be
+	// kept of a request's body (Keep) is no more than this.
+	windowLeast = Keep
+	// spillTime is how long a connection is read at most to find its end behind a window that was shut.
+	spillTime = time.Second
+)
+
 // Watch closes end once the other side has ended its sending or the connection broke. What it sends meanwhile stays in the
-// reader as far as there is room, and else in the socket: its end is seen behind that too. There is no read deadline when it is
-// called; stop sets one, and returns once the reader is the caller's again. Who has seen the end needs no stop.
-func Watch(socket net.Conn, in *bufio.Reader) (end <-chan struct{}, stop func()) {
-	told, over := make(chan struct{}), make(chan struct{})
+// reader as far as there is room, and else in the socket: its end is seen behind that too, unless it is so much that the end can't
+// come. With spill that is thrown away, so that the end is seen behind anything, and end is closed too where SpillMost was: stop
+// tells whether something is missing, so that the connection is of no further use. There is no read deadline when Watch is called;
+// stop sets one, and returns once the reader is the caller's again. Who has seen the end needs no stop.
+func Watch(socket net.Conn, in *bufio.Reader, spill bool) (end <-chan struct{}, stop func() (spilt bool)) {
+	told, over, enough := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	spilt := false // set before over is closed
 	go func() {
 		defer close(over)
 		err := error(nil)
@@ -89,18 +109,106 @@
 			_, err = in.Peek(in.Buffered() + 1)
 		}
 		if raw, _ := rawOf(socket); err == nil && raw != nil {
-			if err = raw.Read(ended); err == nil {
+			var full bool
+			err = raw.Read(func(fd uintptr) bool {
+				if ended(fd) {
+					return true
+				}
+				full = spill && standing(fd, crowded)
+				return full
+			})
+			switch {
+			case err == nil && !full:
 				err = io.EOF
+			case err == nil && pause(enough, crowdedFor):
+				spilt, err = true, throwAway(socket, SpillMost)
 			}
 		}
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			close(told)
 		}
 	}()
-	return told, func() {
+	return told, sync.OnceValue(func() bool {
+		close(enough)
 		socket.SetReadDeadline(time.Unix(1, 0))
 		<-over
+		return spilt
+	})
+}
+
+// Unread tells, without waiting, how many bytes stand unread in a socket; 0 of one that is none.
+func Unread(c net.Conn) (n int) {
+	if raw, _ := rawOf(c); raw != nil {
+		raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
 	}
+	return n
+}
+
+// Shut tells, without waiting, whether so much stands unread in a socket that its window may be shut: the other side's end can't come
+// then. No request of which all is to be kept does that by itself.
+func Shut(c net.Conn) bool { return Unread(c) > windowLeast }
+
+// Spill throws away what the other side has sent, so that its end can come, and tells whether there was anything, and whether the end
+// came, the connection broke, or SpillMost was sent. It waits until nothing more comes for 50 ms, 1 s at most. It sets the read
+// deadline, and leaves it set.
+func Spill(socket net.Conn, in *bufio.Reader) (spilt, ended bool) {
+	got, _ := in.Discard(in.Buffered())
+	buf := make([]byte, 8<<10)
+	for until := time.Now().Add(spillTime); got < SpillMost; {
+		now := time.Now()
+		if !now.Before(until) {
+			return got > 0, false
+		}
+		socket.SetReadDeadline(now.Add(crowdedFor))
+		n, err := socket.Read(buf)
+		got += n
+		switch {
+		case err == nil:
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return got > 0, true
+		case Pending(socket) == Nothing: // else this process was late, not the other side
+			return got > 0, false
+		}
+	}
+	return true, true
+}
+
+// pause waits for a time, unless enough is closed before: false.
+func pause(enough <-chan struct{}, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-enough:
+		return false
+	}
+}
+
+var errFlood = errors.New("the other side sends without waiting for its answer")
+
+// throwAway reads a connection to its end, of at most so many bytes. It does not return without an error.
+func throwAway(c net.Conn, most int) error {
+	buf := make([]byte, 8<<10)
+	for got := 0; got < most; {
+		n, err := c.Read(buf)
+		if err != nil {
+			return err
+		}
+		got += n
+	}
+	return errFlood
+}
+
+// standings are buffers to look into what stands unread, for a moment each.
+var standings = sync.Pool{New: func() any { return new([crowded]byte) }}
+
+// standing tells whether at least so many bytes, at most crowded, stand unread in a socket.
+func standing(fd uintptr, least int) bool {
+	b := standings.Get().(*[crowded]byte)
+	defer standings.Put(b)
+	n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return err == nil && n >= least
 }
 
 // rawOf is the socket of a connection, nil where it is none or is closed: that is an error.
--- a/internal/front/http/clients.go
+++ b/internal/front/http/clients.go
@@ -31,6 +31,7 @@
 	bodyTime  = 3 * time.Second         // for the whole of a body, beyond what it takes
 	slowest   = 32 << 10                // at so many bytes a second
 	roomTime  = time.Second             // for a request to get its part of the bytes that bodies may hold
+	roomSoon  = 50 * time.Millisecond   // a client that leaves while its request waits no longer than that has left just before
 	readTime  = 50 * time.Millisecond   // within this of a request's first byte most are there
 	// SilentTime is how long a new connection may say nothing before it makes room first: a request comes on its heels.
 	SilentTime = 200 * time.Millisecond
@@ -72,8 +73,11 @@
 	net.Conn
 	start time.Time
 	in    *bufio.Reader
-	over  bool   // there were too many already when it came
-	user  string // whom a tunnel was opened for; empty: none, or none was asked for
+	over  bool            // there were too many already when it came, or it is of no further use behind its next answer
+	spilt bool            // what it sent ahead of that answer was thrown away, and more may come
+	end   <-chan struct{} // is closed once the client is seen to leave; nil: nobody looks
+	stop  func() bool     // ends that watch, and tells whether something was thrown away
+	user  string          // whom a tunnel was opened for; empty: none, or none was asked for
 
 	// Guarded by Front.mu.
 	begun     time.Time // when the first byte of its latest request was seen
@@ -197,7 +201,7 @@
 	for c := range s.conns {
 		rank := 1
 		if !c.used {
-			if rank = 0; time.Since(c.start) < SilentTime {
+			if rank = 0; time.Since(c.start) < SilentTime+s.Slack {
 				rank = 2
 			}
 		}
@@ -269,6 +273,7 @@
 	*core.Request
 	in   *stdhttp.Request
 	body *flow.Upload
+	shut bool // it waited for room while so much stood unread that its client's end could not be seen
 }
 
 // rejection is the answer to a request that is not handed to the policy. Its connection is closed: what follows on
@@ -339,6 +344,9 @@
 	if r.Request != nil {
 		s.Core.Written(r.Request)
 	}
+	if c.spilt {
+		c.part()
+	}
 	return stays
 }
 
@@ -409,11 +417,19 @@
 func (s *Front) body(c *conn, r *request) *rejection {
 	in := r.in
 	held := flow.Need(in.ContentLength)
-	ctx, cancel := context.WithTimeout(s.Core.Context(), roomTime)
+	begun := s.Core.Now()
+	ctx, cancel := context.WithTimeout(s.Core.Context(), roomTime+s.Slack)
 	defer cancel()
 	if s.Budget.Request(ctx, held) != nil {
 		return &rejection{status: stdhttp.StatusServiceUnavailable, text: "too many bodies are on their way", retryAfter: roomTime}
 	}
+	var stood time.Duration // how long all of the request stood here: its client's time has been running
+	if waited := s.Core.Now() - begun; waited > roomSoon {
+		r.shut = flow.Shut(c.Conn)
+		if in.ContentLength < 0 || int64(c.in.Buffered()+flow.Unread(c.Conn)) >= in.ContentLength { // of chunks it can't be told
+			stood = waited
+		}
+	}
 	if in.ContentLength != 0 && in.Header.Get("Expect") != "" {
 		c.SetWriteDeadline(time.Now().Add(BodyStall))
 		io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // an error shows when the body is read
@@ -428,6 +444,9 @@
 	}
 	if r.body = up; r.Request != nil {
 		r.Body, r.Arrived = up, s.Core.Now()
+		if up.Whole() {
+			r.Arrived -= stood
+		}
 		if until := s.Until(); until > 0 {
 			r.Patience = min(r.Patience, until-r.Arrived)
 		}
@@ -581,16 +600,25 @@
 		return answer{status: stdhttp.StatusServiceUnavailable, Answer: message.Answer{Body: []byte("too many connections\n")},
 			retryAfter: overTime}, true
 	}
+	whole := r.body.Whole()
+	if whole && r.shut && c.gone() {
+		return worded(core.Answer{Kind: core.Refused, RetryAfter: overTime}), true
+	}
+	if whole {
+		r.Waits = c.watch
+	}
 	if !s.Core.Begin(r.Request) {
+		c.unwatch()
 		c.reject(&rejection{status: stdhttp.StatusConflict, text: "X-Request-Id: a request with this id is open"})
 		return answer{}, false
 	}
 	select {
 	case a := <-r.Answer():
+		c.unwatch()
 		return worded(a), true
 	default:
 	}
-	if !r.body.Whole() {
+	if !whole {
 		select {
 		case a := <-r.Answer():
 			return worded(a), true
@@ -602,9 +630,9 @@
 			return answer{}, false
 		}
 	}
-	c.SetReadDeadline(time.Time{}) // no bound on waiting, also where the connection is to close behind this answer
-	end, stop := flow.Watch(c.Conn, c.in)
-	a, ok := r.Await(end)
+	c.watch()
+	a, ok := r.Await(c.end)
+	c.unwatch()
 	if !ok {
 		// It may have ended its sending alone, and wait for its answer.
 		c.over, a = true, core.Answer{Kind: core.Failed}
@@ -613,7 +641,6 @@
 		}
 		return worded(a), true
 	}
-	stop()
 	return worded(a), true
 }
 
@@ -622,7 +649,12 @@
 	if c.write(nil, answer{status: no.status, retryAfter: no.retryAfter, Answer: message.Answer{Body: []byte(no.text + "\n")}}, true) != nil {
 		return
 	}
-	// Closing resets a connection on which something is unread, and with it what the client has not read.
+	c.part()
+}
+
+// part ends a connection on which more may come behind its last answer. Closing resets one on which something is unread, and with
+// it what the client has not read.
+func (c *conn) part() {
 	if t, ok := c.Conn.(*net.TCPConn); ok {
 		t.CloseWrite()
 	}
--- a/internal/front/tunnel/front.go
+++ b/internal/front/tunnel/front.go
@@ -71,11 +71,10 @@
 			switch {
 			case o == nil:
 				conn.Close()
-			case o.Route.Opaque:
-				f.carry(conn, in, o)
+			case o.Route.Opaque && f.carry(conn, in, o):
 				conn.Close()
 				f.Leave()
-			case o.Accept() != nil:
+			case o.Accept() != nil: // for requests, or so by now
 				conn.Close()
 				f.Leave()
 			default:
@@ -104,16 +103,49 @@
 }
 
 // carry makes an opaque tunnel a request of its own: its final answer is the reply to the client, and what follows is the
-// tunnel's life.
-func (f *Front) carry(conn net.Conn, in *bufio.Reader, o *Opening) {
-	stream := &message.Stream{Limits: o.Route.Limits}
-	r := &core.Request{ID: fmt.Sprint(f.name, f.opened.Add(1)), Class: o.Route.Class, Caller: f.Caller(conn, o.User),
-		Arrived: f.Core.Now(), Patience: openTime, Body: stream, Message: stream}
-	r.Tenant = r.Caller.Tenant
-	if !f.Core.Begin(r) { // no other request has its id
-		o.Refuse(http.StatusServiceUnavailable, time.Second, "")
-		return
+// tunnel's life. False: its route is for requests by now, and the client was told nothing.
+func (f *Front) carry(conn net.Conn, in *bufio.Reader, o *Opening) bool {
+	r := f.begin(conn, o)
+	if r == nil {
+		return o.Route.Opaque
+	}
+	f.stand(conn, in, o, r)
+	return true
+}
+
+// begin hands the core a request for an opaque tunnel. Its route is that of the moment in which its contract and its cell are
+// looked up: one that has changed since the client named it is looked up anew. Nil: the client was told that there is none, unless
+// its route is not opaque any more.
+func (f *Front) begin(conn net.Conn, o *Opening) *core.Request {
+	caller := f.Caller(conn, o.User)
+	for {
+		route := o.Route
+		stream := &message.Stream{Limits: route.Limits}
+		r := &core.Request{ID: fmt.Sprint(f.name, f.opened.Add(1)), Class: route.Class, Tenant: caller.Tenant, Caller: caller,
+			Arrived: f.Core.Now(), Patience: openTime, Body: stream, Message: stream, Left: func() bool { return flow.Left(conn) }}
+		now, there := route, true
+		r.Holds = func() bool {
+			now, there = f.Table.Find(route.Host, route.Port)
+			return there && now == route
+		}
+		switch {
+		case f.Core.Begin(r):
+			return r
+		case !there:
+			o.Refuse(http.StatusForbidden, 0, "")
+			return nil
+		case now == route: // no other request has its id
+			o.Refuse(http.StatusServiceUnavailable, time.Second, "")
+			return nil
+		}
+		if o.Route = now; !now.Opaque {
+			return nil
+		}
 	}
+}
+
+// stand waits for a request's final answer and, where that is a tunnel, lets it live.
+func (f *Front) stand(conn net.Conn, in *bufio.Reader, o *Opening, r *core.Request) {
 	a, ok := f.await(conn, in, r)
 	if !ok {
 		return
@@ -140,7 +172,7 @@
 func (f *Front) await(conn net.Conn, in *bufio.Reader, r *core.Request) (core.Answer, bool) {
 	conn.SetDeadline(time.Time{})
 	// What it sends ahead of the reply stays unread, here or in the socket.
-	end, stop := flow.Watch(conn, in)
+	end, stop := flow.Watch(conn, in, false)
 	a, ok := r.Await(end)
 	if !ok {
 		f.Core.Gone(r)
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -183,8 +183,8 @@
 
 // entry is a server as the roster lists it. The server's lock is held, or nobody else knows it yet.
 func (r *rig) entry(v *server, state string) listed {
-	e := listed{ID: fmt.Sprintf("s-%d", v.ID), Addr: v.addr, Zone: scenario.ZoneName(v.Zone), Kind: v.Kind.Name, Cell: v.Pod,
-		State: state, Weight: 1, index: v.index, launched: v.launched}
+	e := listed{Listed: standin.Listed{ID: fmt.Sprintf("s-%d", v.ID), Addr: v.addr, Zone: scenario.ZoneName(v.Zone), Kind: v.Kind.Name,
+		Cell: v.Pod, State: state, Weight: 1}, index: v.index, launched: v.launched}
 	if v.launched >= 0 {
 		e.Started = r.begun.Add(v.launched).UnixMilli()
 	}
--- /dev/null
+++ b/internal/resource/catalog/prepare.go
@@ -0,0 +1,246 @@
+package catalog
+
+import (
+	"maps"
+	"slices"
+
+	"portstall/internal/config"
+	"portstall/internal/contract"
+	"portstall/internal/resource"
+)
+
+// Prepare checks a delta whole against what is in force, and tells what it changes. It looks at Put and Gone alone: whoever has a
+// snapshot hands in what differs. What is gone and was not there is of no interest. Prepare changes nothing. An error is a
+// *resource.Refusal that names resource and field; of several faults it names one. What is prepared keeps the specs of contracts, which
+// are not to be changed after.
+func (c *Catalog) Prepare(d *resource.Delta) (*Change, error) {
+	ch := c.change()
+	if err := c.sort(ch, d); err != nil {
+		return nil, err
+	}
+	for i := range d.Put {
+		if r := &d.Put[i]; r.Kind == resource.Service {
+			if err := c.putService(ch, r); err != nil {
+				return nil, err
+			}
+		}
+	}
+	for _, k := range d.Gone {
+		switch k.Kind {
+		case resource.Service:
+			if old := c.services[k.Name]; old != nil {
+				ch.services[k.Name] = nil
+				ch.state(old, -1)
+			}
+		case resource.Contract:
+			if c.contracts[k.Name] != nil {
+				ch.contracts[k.Name] = nil
+				ch.Contracts.Gone = append(ch.Contracts.Gone, k.Name)
+			}
+		case resource.Route:
+			if _, known := c.routes[k.Name]; known {
+				ch.routes[k.Name] = via{}
+				ch.Routes.Gone = append(ch.Routes.Gone, k.Name)
+			}
+		case resource.Tenant:
+			if _, known := c.tenants[k.Name]; known {
+				ch.tenants[k.Name] = false
+				ch.Tenants.Gone = append(ch.Tenants.Gone, k.Name)
+			}
+		}
+	}
+	scope := c.scope(ch)
+	ch.Contracts.Put = make([]contract.Terms, 0, of(d, resource.Contract))
+	for i := range d.Put {
+		r, err := &d.Put[i], error(nil)
+		switch r.Kind {
+		case resource.Contract:
+			err = c.putContract(ch, r, scope)
+		case resource.Route:
+			err = c.putRoute(ch, r)
+		case resource.Tenant:
+			err = c.putTenant(ch, r)
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	if err := c.follow(ch, scope); err != nil {
+		return nil, err
+	}
+	return ch, nil
+}
+
+// change is one in which nothing is yet.
+func (c *Catalog) change() *Change {
+	return &Change{Contracts: contract.Change{Even: c.o.Even}, base: c.commits, services: map[string]*service{}, routes: map[string]via{},
+		tenants: map[string]bool{}, fallback: c.fallback, unsafe: map[string]int{}, sets: map[string]map[string]bool{}}
+}
+
+// sort checks the form of a delta, and notes the contracts that it names.
+func (c *Catalog) sort(ch *Change, d *resource.Delta) error {
+	contracts := of(d, resource.Contract)
+	ch.contracts, ch.moved = make(map[string]*entry, contracts), make(map[string]bool, contracts+len(d.Gone))
+	ch.owners = newOwners(contracts)
+	seen, total := make(map[resource.Key]bool, len(d.Put)+len(d.Gone)), c.Len()
+	key := func(k resource.Key) error {
+		switch k.Kind {
+		case resource.Service, resource.Contract, resource.Route, resource.Tenant:
+		default:
+			return refuse(k, "", "is of a kind that is not known here")
+		}
+		switch {
+		case k.Name == "":
+			return refuse(k, "name", "missing")
+		case len(k.Name) > resource.MaxName:
+			k.Name = k.Name[:64]
+			return refuse(k, "name", "is longer than %d bytes", resource.MaxName)
+		case seen[k]:
+			return refuse(k, "", "is in the delta twice")
+		}
+		seen[k] = true
+		if k.Kind == resource.Contract {
+			if ch.moved[k.Name] = true; k.Name == ch.fallback {
+				ch.fallback = ""
+			}
+		}
+		return nil
+	}
+	for i := range d.Put {
+		r := &d.Put[i]
+		if err := key(r.Key); err != nil {
+			return err
+		}
+		if len(r.Spec) > resource.MaxSpec {
+			return refuse(r.Key, "", "takes %d bytes, at most %d are allowed", len(r.Spec), resource.MaxSpec)
+		}
+		if !c.has(r.Key) {
+			total++
+		}
+	}
+	for _, k := range d.Gone {
+		if err := key(k); err != nil {
+			return err
+		}
+		if c.has(k) {
+			total--
+		}
+	}
+	if total > resource.MaxResources {
+		return refuse(resource.Key{}, "", "makes %d resources, at most %d are allowed", total, resource.MaxResources)
+	}
+	return nil
+}
+
+// of is how many resources of a kind a delta puts.
+func of(d *resource.Delta, kind resource.Kind) (n int) {
+	for i := range d.Put {
+		if d.Put[i].Kind == kind {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *Catalog) has(k resource.Key) (has bool) {
+	switch k.Kind {
+	case resource.Service:
+		_, has = c.services[k.Name]
+	case resource.Contract:
+		_, has = c.contracts[k.Name]
+	case resource.Route:
+		_, has = c.routes[k.Name]
+	case resource.Tenant:
+		_, has = c.tenants[k.Name]
+	}
+	return has
+}
+
+// service is one as it is once the change is in force; nil: none.
+func (c *Catalog) service(ch *Change, name string) *service {
+	if s, staged := ch.services[name]; staged {
+		return s
+	}
+	return c.services[name]
+}
+
+// isUnsafe tells whether a class must never run twice once the change is in force: by the node's settings, and where they do not have
+// it if any service says so.
+func (c *Catalog) isUnsafe(ch *Change, class string) bool {
+	if e, known := c.o.Effects[class]; known {
+		return e == "unsafe"
+	}
+	return c.unsafe[class]+ch.unsafe[class] > 0
+}
+
+func (c *Catalog) scope(ch *Change) *config.Scope {
+	return &config.Scope{Where: "here",
+		Classes: func(name string) (map[string]bool, bool) {
+			if s := c.service(ch, name); s != nil {
+				return s.classes, true
+			}
+			return nil, false
+		},
+		Unsafe: func(class string) bool { return c.isUnsafe(ch, class) },
+	}
+}
+
+// follow compiles the contracts anew that name a service which changes, and checks those that a class becomes unsafe for.
+func (c *Catalog) follow(ch *Change, scope *config.Scope) error {
+	for _, name := range sorted(ch.services) {
+		old, s := c.services[name], ch.services[name]
+		if old == nil {
+			continue
+		}
+		at := resource.Key{Kind: resource.Service, Name: name}
+		if s == nil {
+			for _, by := range sorted(old.contracts) {
+				if !ch.moved[by] {
+					return refuse(at, "", "is gone, and contract %q names it", by)
+				}
+			}
+			for _, by := range sorted(old.routes) {
+				if _, moved := ch.routes[by]; !moved {
+					return refuse(at, "", "is gone, and route %q leads to it", by)
+				}
+			}
+			continue
+		}
+		if maps.Equal(old.classes, s.classes) {
+			continue
+		}
+		for _, by := range sorted(old.contracts) {
+			if _, done := ch.contracts[by]; done {
+				continue
+			}
+			t, e, err := c.compile(ch, resource.Key{Kind: resource.Contract, Name: by}, c.contracts[by].spec, scope)
+			if err != nil {
+				return refuse(at, "classes", "%s", err)
+			}
+			ch.contracts[by] = e
+			ch.Contracts.Put = append(ch.Contracts.Put, t)
+		}
+	}
+	for _, class := range sorted(ch.unsafe) {
+		if _, known := c.o.Effects[class]; known || c.unsafe[class] > 0 || c.unsafe[class]+ch.unsafe[class] == 0 {
+			continue
+		}
+		// A class that the node's settings do not know becomes unsafe: rare, and the one thing that goes through all contracts.
+		for _, by := range sorted(c.contracts) {
+			if c.contracts[by].retries[class] && !ch.moved[by] {
+				return refuse(c.sayer(ch, class), "classes", "class %q becomes unsafe, and contract %q allows retries of it", class, by)
+			}
+		}
+	}
+	return nil
+}
+
+// sayer is a service of the change that states that a class is unsafe.
+func (c *Catalog) sayer(ch *Change, class string) resource.Key {
+	for _, name := range sorted(ch.services) {
+		if s := ch.services[name]; s != nil && slices.Contains(s.stated, config.Class{Name: class, Effect: "unsafe"}) {
+			return resource.Key{Kind: resource.Service, Name: name}
+		}
+	}
+	return resource.Key{}
+}
--- /dev/null
+++ b/internal/resource/catalog/put.go
@@ -0,0 +1,176 @@
+package catalog
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"portstall/internal/config"
+	"portstall/internal/contract"
+	"portstall/internal/resource"
+)
+
+// Here is what each kind of resource means to a change: decoded, checked against the other resources, and added to it.
+
+// state counts what a service states of its classes, or does not any more.
+func (ch *Change) state(s *service, n int) {
+	for _, class := range s.stated {
+		if class.Effect == "unsafe" {
+			ch.unsafe[class.Name] += n
+		}
+	}
+}
+
+func (c *Catalog) putService(ch *Change, r *resource.Resource) error {
+	var spec config.Service
+	if err := decode(r, &spec); err != nil {
+		return err
+	}
+	if spec.Name != r.Name {
+		return refuse(r.Key, "name", "%q is not the resource's", spec.Name)
+	}
+	if err := spec.Check("", c.o.Effects); err != nil {
+		return refusal(r.Key, err)
+	}
+	s := &service{name: r.Name, classes: spec.Set()}
+	for _, class := range spec.Classes {
+		if class.Effect != "" {
+			s.stated = append(s.stated, class)
+		}
+	}
+	if old := c.services[r.Name]; old != nil {
+		ch.state(old, -1)
+		if maps.Equal(old.classes, s.classes) {
+			s.classes = old.classes // its contracts share this one
+		}
+	}
+	ch.state(s, 1)
+	ch.services[r.Name] = s
+	return nil
+}
+
+func (c *Catalog) putContract(ch *Change, r *resource.Resource, scope *config.Scope) error {
+	t, e, err := c.compile(ch, r.Key, r.Spec, scope)
+	if err != nil {
+		return err
+	}
+	if len(t.Matches) == 0 {
+		if ch.fallback != "" {
+			return refuse(r.Key, "match", "contract %q is for everybody else already", ch.fallback)
+		}
+		ch.fallback = t.Name
+	}
+	for k, m := range t.Matches {
+		o, dup := c.owners.get(m)
+		if dup = dup && !ch.moved[o]; !dup {
+			o, dup = ch.owners.get(m)
+		}
+		if dup && o != t.Name {
+			return refuse(r.Key, fmt.Sprintf("match[%d]", k), "contract %q is for the same callers", o)
+		}
+		ch.owners.set(m, t.Name)
+	}
+	ch.contracts[t.Name] = e
+	ch.Contracts.Put = append(ch.Contracts.Put, t)
+	return nil
+}
+
+// compile makes a contract's terms. What they have in common with others they share.
+func (c *Catalog) compile(ch *Change, k resource.Key, text json.RawMessage, scope *config.Scope) (t contract.Terms, e *entry, err error) {
+	var spec config.Contract
+	if err := decode(&resource.Resource{Key: k, Spec: text}, &spec); err != nil {
+		return t, nil, err
+	}
+	if spec.Name != k.Name {
+		return t, nil, refuse(k, "name", "%q is not the resource's", spec.Name)
+	}
+	if t, err = spec.Terms("", scope); err != nil {
+		return t, nil, refusal(k, err)
+	}
+	t.Name = k.Name // one string for all that name it
+	for i := range t.Matches {
+		if t.Matches[i].Tenant == t.Name {
+			t.Matches[i].Tenant = t.Name
+		}
+	}
+	for i, name := range spec.Services {
+		spec.Services[i] = c.service(ch, name).name
+	}
+	if len(spec.Services) > 1 {
+		t.Classes = c.share(ch, t.Classes)
+	}
+	t.Retries = c.share(ch, t.Retries)
+	return t, &entry{text, spec.Services, t.Matches, t.Retries}, nil
+}
+
+// share is the set of the same classes that is there already, or this one.
+func (c *Catalog) share(ch *Change, set map[string]bool) map[string]bool {
+	if set == nil {
+		return nil
+	}
+	key := strings.Join(slices.Sorted(maps.Keys(set)), "\x00")
+	if had, known := c.sets[key]; known {
+		return had
+	}
+	if had, known := ch.sets[key]; known {
+		return had
+	}
+	ch.sets[key] = set
+	return set
+}
+
+func (c *Catalog) putRoute(ch *Change, r *resource.Resource) error {
+	var spec config.Route
+	if err := decode(r, &spec); err != nil {
+		return err
+	}
+	ready, err := route(&spec, "")
+	if err != nil {
+		return refusal(r.Key, err)
+	}
+	if name := ready.Name(); name != r.Name {
+		return refuse(r.Key, "host", "%q is not the resource's", name)
+	}
+	s := c.service(ch, spec.Service)
+	if s == nil {
+		return refuse(r.Key, "service", "%q is no service here", spec.Service)
+	}
+	ready.Service = s.name
+	v := via{s.name, ready.Class}
+	if err := c.classOf(r.Name, v); err != nil {
+		return err
+	}
+	ch.routes[r.Name] = v
+	ch.Routes.Put = append(ch.Routes.Put, ready)
+	return nil
+}
+
+// classOf checks that an opaque route's class is one of the node's.
+func (c *Catalog) classOf(name string, v via) error {
+	if _, known := c.o.Effects[v.class]; v.class != "" && c.o.Effects != nil && !known {
+		return refuse(resource.Key{Kind: resource.Route, Name: name}, "class", "%q is no class of the node's settings", v.class)
+	}
+	return nil
+}
+
+func (c *Catalog) putTenant(ch *Change, r *resource.Resource) error {
+	if !c.o.Cells {
+		return refuse(r.Key, "", "is pinned to pods, and there are no cells here")
+	}
+	var spec config.Pinned
+	if err := decode(r, &spec); err != nil {
+		return err
+	}
+	if spec.Tenant != r.Name {
+		return refuse(r.Key, "tenant", "%q is not the resource's", spec.Tenant)
+	}
+	t, err := spec.Ready("")
+	if err != nil {
+		return refusal(r.Key, err)
+	}
+	ch.tenants[r.Name] = true
+	ch.Tenants.Put = append(ch.Tenants.Put, t)
+	return nil
+}
--- /dev/null
+++ b/internal/resource/catalog/source.go
@@ -0,0 +1,122 @@
+package catalog
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"portstall/internal/config"
+	"portstall/internal/front/tunnel"
+	"portstall/internal/resource"
+)
+
+// Parts reads a file of resources. Its keys are those of the product's file: services, contracts, tunnels.routes and cells.tenants
+// become resources; the product's other keys (parts, health, members, state, the rest of tunnels and cells) are a node's own, are
+// allowed so that one file can serve both, and are not carried. Each value is checked by itself, none against another: what a contract
+// names may stand in another file. Lines are where the resources begin. An error names file, line and field.
+func Parts(name string, text []byte) ([]resource.Resource, map[resource.Key]int, error) {
+	f, line, err := config.ParsePart(name, text)
+	if err != nil {
+		return nil, nil, err
+	}
+	var all []resource.Resource
+	lines := map[resource.Key]int{}
+	err = each(f, func(path, field string, key resource.Key, spec any, check error) error {
+		at := line(path)
+		_, dup := lines[key]
+		switch {
+		case key.Name == "":
+			check = &config.FieldError{Path: path + "." + field, Why: "missing"}
+		case check == nil && dup:
+			check = &config.FieldError{Path: path + "." + field, Why: fmt.Sprintf("%s is at line %d already", key, lines[key])}
+		}
+		var bad *config.FieldError
+		if errors.As(check, &bad) {
+			if l := line(bad.Path); l > 0 {
+				at = l
+			}
+			return fmt.Errorf("%s:%d: %w", name, at, check)
+		}
+		lines[key] = at
+		all, err = add(all, key, spec)
+		return err
+	})
+	if err != nil {
+		return nil, nil, err
+	}
+	return all, lines, nil
+}
+
+// Resources are those of a product's file that was read and checked (config.Parse).
+func Resources(f *config.File) ([]resource.Resource, error) {
+	var all []resource.Resource
+	err := each(f, func(_, _ string, key resource.Key, spec any, check error) (err error) {
+		if check == nil {
+			all, check = add(all, key, spec)
+		}
+		return check
+	})
+	return all, err
+}
+
+func add(all []resource.Resource, key resource.Key, spec any) ([]resource.Resource, error) {
+	text, err := json.Marshal(spec)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", key, err)
+	}
+	return append(all, resource.Resource{Key: key, Spec: text}), nil
+}
+
+// each goes through what a file carries, with the path of each, the field that names it and what is wrong with it by itself.
+func each(f *config.File, do func(path, field string, key resource.Key, spec any, check error) error) error {
+	for i := range f.Services {
+		s, path := &f.Services[i], fmt.Sprintf("services[%d]", i)
+		if err := do(path, "name", resource.Key{Kind: resource.Service, Name: s.Name}, s, s.Check(path+".", nil)); err != nil {
+			return err
+		}
+	}
+	for i := range f.Contracts {
+		c, path := &f.Contracts[i], fmt.Sprintf("contracts[%d]", i)
+		_, check := c.Terms(path+".", &alone)
+		if err := do(path, "name", resource.Key{Kind: resource.Contract, Name: c.Name}, c, check); err != nil {
+			return err
+		}
+	}
+	if f.Tunnels != nil {
+		for i := range f.Tunnels.Routes {
+			r, path := &f.Tunnels.Routes[i], fmt.Sprintf("tunnels.routes[%d]", i)
+			ready, check := route(r, path+".")
+			if err := do(path, "host", resource.Key{Kind: resource.Route, Name: ready.Name()}, r, check); err != nil {
+				return err
+			}
+		}
+	}
+	if f.Cells != nil {
+		for i := range f.Cells.Tenants {
+			t, path := &f.Cells.Tenants[i], fmt.Sprintf("cells.tenants[%d]", i)
+			_, check := t.Ready(path + ".")
+			if err := do(path, "tenant", resource.Key{Kind: resource.Tenant, Name: t.Tenant}, t, check); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// alone is what a contract is checked against by itself: all that it names is there.
+var alone = config.Scope{
+	Classes: func(string) (map[string]bool, bool) { return nil, true },
+	Unsafe:  func(string) bool { return false },
+}
+
+// route is a route ready for use and checked by itself. An error is a *config.FieldError.
+func route(r *config.Route, path string) (tunnel.Route, error) {
+	ready, err := r.Ready(path)
+	if err != nil {
+		return ready, err
+	}
+	if field, why := ready.Check(); field != "" {
+		return ready, &config.FieldError{Path: path + field, Why: why}
+	}
+	return ready, nil
+}
--- /dev/null
+++ b/internal/resource/set_test.go
@@ -0,0 +1,588 @@
+package resource
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func res(kind Kind, name, spec string) Resource {
+	return Resource{Key{kind, name}, json.RawMessage(spec)}
+}
+
+func con(name string, rate int) Resource {
+	return res(Contract, name, fmt.Sprintf(`{"rate":%d}`, rate))
+}
+
+func key(name string) Key { return Key{Contract, name} }
+
+func ver(epoch, number uint64) Version { return Version{epoch, number} }
+
+// filled is a set with these at a version.
+func filled(t testing.TB, specs bool, v Version, all ...Resource) *Set {
+	t.Helper()
+	s := NewSet(specs)
+	if err := s.Apply(s.Next(v, all, nil)); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// holds fails unless the set holds just these.
+func holds(t testing.TB, s *Set, v Version, all ...Resource) {
+	t.Helper()
+	want := filled(t, true, v, all...)
+	put, gone := s.Compare(all)
+	if s.Version() != v || s.Sum() != want.Sum() || s.Len() != len(all) || len(put)+len(gone) != 0 {
+		t.Fatalf("at %v with %d: differs by %v and %v; want %d at %v", s.Version(), s.Len(), put, gone, len(all), v)
+	}
+}
+
+func TestCheckSaysWhatIsWrongAndChangesNothing(t *testing.T) {
+	long := strings.Repeat("n", MaxName+1)
+	base := []Resource{con("a", 1), con("b", 1), res(Route, "a", "{}")}
+	from, to := ver(5, 1), ver(5, 2)
+	for _, c := range []struct {
+		name  string
+		d     Delta
+		is    error // or a *Refusal with these:
+		key   Key
+		field string
+		why   string
+	}{
+		{name: "to is from", d: Delta{From: from, To: from}, field: "to", why: "5.1 is not later than from, 5.1"},
+		{name: "to before from", d: Delta{From: from, To: ver(4, 9)}, field: "to", why: "4.9 is not later than from, 5.1"},
+		{name: "snapshot to nothing", d: Delta{}, field: "to", why: "0.0 is not later than from, 0.0"},
+		{name: "snapshot with gone", d: Delta{To: to, Gone: []Key{key("a")}}, field: "gone", why: "a snapshot names nothing as gone"},
+		{name: "same version", d: Delta{From: ver(5, 0), To: from}, is: ErrStale},
+		{name: "older snapshot", d: Delta{To: ver(4, 7)}, is: ErrStale},
+		{name: "older epoch, greater number", d: Delta{From: ver(4, 7), To: ver(4, 8)}, is: ErrStale},
+		{name: "from before ours", d: Delta{From: ver(5, 0), To: to}, is: ErrBase},
+		{name: "a version jumped", d: Delta{From: ver(5, 2), To: ver(5, 3)}, is: ErrBase},
+		{name: "kind not known", d: Delta{From: from, To: to, Put: []Resource{res("cluster", "a", "{}")}}, key: Key{"cluster", "a"}, field: "kind",
+			why: "not known: want contract, route, service or tenant"},
+		{name: "kind not known, gone", d: Delta{From: from, To: to, Gone: []Key{{"", "a"}}}, key: Key{"", "a"}, field: "kind",
+			why: "not known: want contract, route, service or tenant"},
+		{name: "no name", d: Delta{From: from, To: to, Put: []Resource{con("", 1)}}, key: key(""), field: "name", why: "empty"},
+		{name: "long name", d: Delta{From: from, To: to, Put: []Resource{con(long, 1)}}, key: key(long[:40]), field: "name", why: "301 bytes: at most 300"},
+		{name: "name not UTF-8", d: Delta{From: from, To: to, Put: []Resource{con("a\xff", 1)}}, key: key("a\xff"), field: "name", why: "not UTF-8"},
+		{name: "name with a zero byte", d: Delta{From: from, To: to, Put: []Resource{con("a\x00b", 1)}}, key: key("a\x00b"), field: "name",
+			why: "has a control character"},
+		{name: "no spec", d: Delta{From: from, To: to, Put: []Resource{res(Contract, "a", "")}}, key: key("a"), field: "spec", why: "not a JSON object"},
+		{name: "spec no object", d: Delta{From: from, To: to, Put: []Resource{res(Contract, "a", "[]")}}, key: key("a"), field: "spec", why: "not a JSON object"},
+		{name: "spec broken", d: Delta{From: from, To: to, Put: []Resource{res(Contract, "a", `{"rate":}`)}}, key: key("a"), field: "spec", why: "not valid JSON"},
+		{name: "spec with more behind", d: Delta{From: from, To: to, Put: []Resource{res(Contract, "a", `{}{}`)}}, key: key("a"), field: "spec", why: "not valid JSON"},
+		{name: "spec not compact", d: Delta{From: from, To: to, Put: []Resource{res(Contract, "a", `{"rate": 1}`)}}, key: key("a"), field: "spec", why: "not compact JSON"},
+		{name: "spec not UTF-8", d: Delta{From: from, To: to, Put: []Resource{res(Contract, "a", "{\"x\":\"\xff\"}")}}, key: key("a"), field: "spec", why: "not UTF-8"},
+		{name: "spec too long", d: Delta{From: from, To: to, Put: []Resource{res(Contract, "a", `{"x":"`+strings.Repeat("x", MaxSpec)+`"}`)}}, key: key("a"), field: "spec",
+			why: "65544 bytes: at most 65536"},
+		{name: "put twice", d: Delta{From: from, To: to, Put: []Resource{con("a", 2), con("a", 3)}}, key: key("a"), why: "put twice"},
+		{name: "gone twice", d: Delta{From: from, To: to, Gone: []Key{key("a"), key("a")}}, key: key("a"), why: "gone twice, or put and gone at once"},
+		{name: "put and gone", d: Delta{From: from, To: to, Put: []Resource{con("a", 2)}, Gone: []Key{key("a")}}, key: key("a"),
+			why: "gone twice, or put and gone at once"},
+		{name: "gone and not there, another content", d: Delta{From: from, To: to, Gone: []Key{key("c")}, Sum: 1}, is: ErrSum},
+		{name: "gone under another kind", d: Delta{From: from, To: to, Gone: []Key{{Route, "b"}}, Sum: 1}, is: ErrSum},
+		{name: "another sum", d: Delta{From: from, To: to, Put: []Resource{con("a", 2)}, Sum: 1}, is: ErrSum},
+		{name: "another sum of a snapshot", d: Delta{To: to, Put: []Resource{con("a", 2)}, Sum: 1}, is: ErrSum},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for _, specs := range []bool{true, false} {
+				s := filled(t, specs, from, base...)
+				for _, err := range []error{s.Check(&c.d), s.Apply(&c.d)} {
+					var r *Refusal
+					switch {
+					case c.is != nil:
+						if !errors.Is(err, c.is) || errors.As(err, &r) {
+							t.Fatalf("%v; want %v", err, c.is)
+						}
+					case !errors.As(err, &r) || *r != (Refusal{c.key, c.field, c.why}):
+						t.Fatalf("%#v; want %#v", err, Refusal{c.key, c.field, c.why})
+					}
+				}
+				holds(t, s, from, base...)
+			}
+		})
+	}
+}
+
+func TestTheNumberOfResourcesIsBounded(t *testing.T) {
+	t.Parallel()
+	many := make([]Resource, MaxResources+1)
+	for i := range many {
+		many[i] = res(Contract, fmt.Sprint(i), "{}")
+	}
+	s := filled(t, false, ver(1, 1), res(Route, "a", "{}"))
+	var r *Refusal
+	for n, want := range map[int]string{MaxResources + 1: "100001 resources: at most 100000", MaxResources: "100001 resources: at most 100000"} {
+		if err := s.Check(&Delta{From: ver(1, 1), To: ver(1, 2), Put: many[:n]}); !errors.As(err, &r) || r.Why != want {
+			t.Fatal(n, err)
+		}
+	}
+	if err := s.Apply(s.Next(ver(1, 2), many[:MaxResources], []Key{{Route, "a"}})); err != nil || s.Len() != MaxResources {
+		t.Fatal(s.Len(), err)
+	}
+}
+
+// What would not fit into an answer is refused where it is put together, so that a control process never has what it can't tell.
+func TestASetWithSpecsIsBoundedByAnAnswer(t *testing.T) {
+	t.Parallel()
+	s := NewSet(true)
+	spec := `{"x":"` + strings.Repeat("x", MaxSpec-8) + `"}`
+	var r *Refusal
+	for i := 0; ; i++ {
+		d := s.Next(ver(1, uint64(i)+1), []Resource{res(Service, fmt.Sprint(i), spec)}, nil)
+		if i == 0 {
+			d.From = Version{}
+		}
+		err := s.Apply(d)
+		if err == nil {
+			continue
+		}
+		if !errors.As(err, &r) || !strings.Contains(r.Why, "of all resources: at most 16777216") || s.Len() != i {
+			t.Fatal(i, err)
+		}
+		break
+	}
+	if data, err := Encode(s.Snapshot()); err != nil || len(data) < MaxAnswer-MaxSpec-MaxName-200 {
+		t.Fatal(len(data), err)
+	}
+	// One for another fits in the full set; what takes less again fits, and a resource that goes frees its bytes.
+	if err := s.Apply(s.Next(ver(1, 1<<20), []Resource{res(Service, "n", spec)}, []Key{{Service, "2"}})); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Apply(s.Next(ver(2, 0), []Resource{res(Service, "0", "{}"), res(Service, "new", "{}")}, []Key{{Service, "1"}})); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Apply(s.Next(ver(3, 0), []Resource{res(Service, "1", spec)}, nil)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestADeltaAsLongAsAnAnswerIsRefused(t *testing.T) {
+	var d Delta
+	spec := `{"x":"` + strings.Repeat("x", MaxSpec-8) + `"}`
+	for i := range MaxAnswer/MaxSpec + 1 {
+		d.Put = append(d.Put, res(Service, fmt.Sprint(i), spec))
+	}
+	d.To = ver(1, 0)
+	var r *Refusal
+	if err := NewSet(false).Check(&d); !errors.As(err, &r) || !strings.Contains(r.Why, "at most 16777216") {
+		t.Fatal(err)
+	}
+}
+
+// The size that is counted is never below that of the JSON, names with escapes included.
+func TestSizeBoundsTheJSON(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := &Delta{From: ver(rapid.Uint64().Draw(t, "epoch"), rapid.Uint64().Draw(t, "number")), To: ver(1<<64-1, 1<<64-1), Sum: 1<<64 - 1}
+		name := rapid.StringN(1, 20, MaxName).Filter(func(s string) bool { return checkKey(key(s)) == nil })
+		for _, n := range rapid.SliceOfN(name, 0, 5).Draw(t, "put") {
+			d.Put = append(d.Put, res(Contract, n, `{"a":"<&>"}`))
+		}
+		for _, n := range rapid.SliceOfN(name, 0, 5).Draw(t, "gone") {
+			d.Gone = append(d.Gone, Key{Tenant, n})
+		}
+		data, err := Encode(d)
+		if err != nil || len(data) > d.size() {
+			t.Fatalf("%d bytes counted as %d: %s %v", len(data), d.size(), data, err)
+		}
+		back, err := Decode(data)
+		if err != nil || !reflect.DeepEqual(d, back) {
+			t.Fatalf("%+v became %+v: %v", d, back, err)
+		}
+	})
+}
+
+func TestSpecsKeepTheirBytes(t *testing.T) {
+	spec := "{\"match\":\"<a&b>\u2028\",\"n\":1e2}"
+	s := filled(t, true, ver(1, 1), res(Route, "a:1", spec))
+	data, err := Encode(s.Snapshot())
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := Decode(data)
+	if err != nil || string(d.Put[0].Spec) != spec {
+		t.Fatalf("%s %v", data, err)
+	}
+	if err := NewSet(false).Apply(d); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestDecodeIsBounded(t *testing.T) {
+	if _, err := Decode(make([]byte, MaxAnswer+1)); err == nil || !strings.Contains(err.Error(), "at most 16777216") {
+		t.Fatal(err)
+	}
+	if _, err := Decode([]byte(`{"from":"0.0","to":"1.1","sum":"0000000000000000"`)); err == nil {
+		t.Fatal("half an answer was read")
+	}
+}
+
+func TestTheSumIsThatOfTheContentNotOfTheWay(t *testing.T) {
+	all := []Resource{con("a", 1), con("b", 2), res(Route, "a", "{}")}
+	s := filled(t, false, ver(1, 0), con("b", 9), con("z", 1))
+	put, gone := s.Compare(all)
+	if err := s.Apply(s.Next(ver(1, 1), put, gone)); err != nil {
+		t.Fatal(err)
+	}
+	slices.Reverse(all)
+	if o := filled(t, true, ver(7, 7), all...); o.Sum() != s.Sum() {
+		t.Fatal(o.Sum(), s.Sum())
+	}
+	// A resource's parts don't run into each other.
+	if NewSet(false).Next(ver(1, 1), []Resource{res(Contract, "ab", "{}")}, nil).Sum == NewSet(false).Next(ver(1, 1), []Resource{res(Contract, "a", "b{}")}, nil).Sum {
+		t.Fatal("name and spec run together")
+	}
+}
+
+func TestDifferenceOfASnapshotIsWhatIsNew(t *testing.T) {
+	control := filled(t, true, ver(9, 3), con("a", 1), con("b", 2), con("new", 3))
+	node := filled(t, false, ver(8, 1), con("a", 1), con("b", 1), con("old", 1))
+	snapshot := control.Snapshot()
+	if err := node.Check(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	d := node.Difference(snapshot)
+	want := &Delta{From: ver(8, 1), To: ver(9, 3), Sum: control.Sum(), Put: []Resource{con("b", 2), con("new", 3)}, Gone: []Key{key("old")}}
+	if !reflect.DeepEqual(d, want) {
+		t.Fatalf("%+v", d)
+	}
+	if !reflect.DeepEqual(node.Difference(d), d) {
+		t.Fatal("a delta is not its own difference")
+	}
+	// A delta may name more than differs here: what came and went, or was put as it stands.
+	wide := *d
+	wide.Put, wide.Gone = append([]Resource{con("a", 1)}, d.Put...), append([]Key{key("never")}, d.Gone...)
+	if got := node.Difference(&wide); node.Check(&wide) != nil || !reflect.DeepEqual(got, want) {
+		t.Fatalf("%+v", got)
+	}
+	if err := node.Apply(d); err != nil {
+		t.Fatal(err)
+	}
+	holds(t, node, ver(9, 3), con("a", 1), con("b", 2), con("new", 3))
+	// The snapshot itself leads there as well.
+	other := filled(t, true, ver(8, 1), con("a", 1), con("old", 1))
+	if err := other.Apply(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	holds(t, other, ver(9, 3), con("a", 1), con("b", 2), con("new", 3))
+	if empty := NewSet(false); !reflect.DeepEqual(empty.Difference(snapshot), snapshot) {
+		t.Fatal("an empty set's difference")
+	}
+}
+
+func TestNextLeavesOutWhatChangesNothing(t *testing.T) {
+	s := filled(t, true, ver(1, 1), con("a", 1), con("b", 1))
+	d := s.Next(ver(1, 2), []Resource{con("a", 1)}, []Key{key("c"), {"cluster", "x"}})
+	if len(d.Put)+len(d.Gone) != 0 || d.Sum != s.Sum() {
+		t.Fatalf("%+v", d)
+	}
+	d = s.Next(ver(1, 2), []Resource{con("d", 1), con("b", 2), con("a", 1)}, []Key{key("c"), key("a")})
+	if !reflect.DeepEqual(d.Put, []Resource{con("b", 2), con("d", 1)}) || !reflect.DeepEqual(d.Gone, []Key{key("a")}) {
+		t.Fatalf("%+v", d)
+	}
+	if err := s.Apply(d); err != nil {
+		t.Fatal(err)
+	}
+	holds(t, s, ver(1, 2), con("b", 2), con("d", 1))
+}
+
+func TestVersionsAndSumsAreReadAsWritten(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := ver(rapid.Uint64().Draw(t, "epoch"), rapid.Uint64().Draw(t, "number"))
+		if back, err := ParseVersion(v.String()); err != nil || back != v {
+			t.Fatal(v, back, err)
+		}
+		s, back := Sum(rapid.Uint64().Draw(t, "sum")), Sum(0)
+		text, _ := s.MarshalText()
+		if err := back.UnmarshalText(text); err != nil || back != s {
+			t.Fatal(s, back, err)
+		}
+	})
+	for _, s := range []string{"", "1", "1.", ".1", "1.2.3", "-1.2", "1.18446744073709551616", " 1.2"} {
+		if v, err := ParseVersion(s); err == nil {
+			t.Errorf("%q was read as %v", s, v)
+		}
+	}
+	if s := (&Refusal{key("a"), "match[0].from", "no"}).Error(); s != `contract "a": match[0].from: no` {
+		t.Error(s)
+	}
+	if ver(5, 9).Compare(ver(6, 0)) >= 0 || ver(6, 1).Compare(ver(6, 0)) <= 0 {
+		t.Error("order")
+	}
+	now := 100 * 24 * time.Hour
+	if most := uint64(now.Milliseconds()) + MaxEpochAhead; ver(most, 1).TooFarAhead(now) || !ver(most+1, 0).TooFarAhead(now) || !ver(1<<64-1, 0).TooFarAhead(now) {
+		t.Error("a day ahead")
+	}
+}
+
+// drawn changes a set at random and returns the delta.
+func drawn(t *rapid.T, s *Set, to Version) *Delta {
+	names := rapid.SliceOfNDistinct(rapid.IntRange(0, 7), 0, 4, rapid.ID).Draw(t, "names")
+	var put []Resource
+	var gone []Key
+	for _, n := range names {
+		if name := fmt.Sprint(n); rapid.Bool().Draw(t, "gone") {
+			gone = append(gone, key(name))
+		} else {
+			put = append(put, con(name, rapid.IntRange(0, 2).Draw(t, "rate")))
+		}
+	}
+	return s.Next(to, put, gone)
+}
+
+// Since(v) applied to a set at v gives the set now, with and without specs, whatever is kept; also where it is told by a process that took
+// several changes as one, to a node at a version which that process never had.
+func TestMergedDeltasLeadFromEachVersionToTheLast(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Duration(0)
+		h := NewHistory(HistoryLimits{Deltas: rapid.IntRange(1, 12).Draw(t, "kept")})
+		s := NewSet(true)
+		first := s.Next(ver(1, 0), []Resource{con("0", 0), con("1", 1)}, nil)
+		if err := s.Apply(first); err != nil {
+			t.Fatal(err)
+		}
+		type at struct{ all []Resource }
+		olds := map[Version]at{s.Version(): {s.Snapshot().Put}}
+		for n := range rapid.IntRange(1, 14).Draw(t, "changes") {
+			d := drawn(t, s, ver(1, uint64(n)+1))
+			h.Add(now, d)
+			if err := s.Apply(d); err != nil {
+				t.Fatal(err)
+			}
+			olds[s.Version()] = at{s.Snapshot().Put}
+		}
+		delete(olds, s.Version())
+		// The history of a process that follows, and takes what is merged now and then.
+		second, at2 := NewHistory(HistoryLimits{}), ver(1, uint64(rapid.IntRange(0, len(olds)-1).Draw(t, "from")))
+		if d, ok := h.Since(at2); ok {
+			second.Add(now, d)
+		}
+		kept := 0
+		for v, old := range olds {
+			d, ok := h.Since(v)
+			if d2, ok2 := second.Since(v); ok2 != (second.Len() > 0 && v.Compare(at2) >= 0) {
+				t.Fatal(v, at2, ok2)
+			} else if ok2 {
+				d = d2
+			}
+			if ok {
+				kept++
+			} else {
+				continue
+			}
+			for _, specs := range []bool{true, false} {
+				node := NewSet(specs)
+				if err := node.Apply(node.Next(v, old.all, nil)); err != nil {
+					t.Fatal(err)
+				}
+				if rapid.Bool().Draw(t, "exact") {
+					d = node.Difference(d)
+				}
+				if err := node.Apply(d); err != nil {
+					t.Fatal(v, err)
+				}
+				if put, gone := node.Compare(s.Snapshot().Put); len(put)+len(gone) != 0 || node.Sum() != s.Sum() || node.Version() != s.Version() || node.Len() != s.Len() {
+					t.Fatal(v, put, gone)
+				}
+			}
+		}
+		if kept != h.Len() {
+			t.Fatalf("%d ways are kept of %d deltas", kept, h.Len())
+		}
+	})
+}
+
+// A snapshot's difference leads from any content to the snapshot's.
+func TestDifferencesLeadAnywhere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := NewSet(false), NewSet(true)
+		for i, s := range []*Set{a, b} {
+			for n := range 3 {
+				d := drawn(t, s, ver(uint64(i)+1, uint64(n)))
+				if err := s.Apply(d); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		snapshot := b.Snapshot()
+		if err := a.Check(snapshot); err != nil {
+			t.Fatal(err)
+		}
+		if err := a.Apply(a.Difference(snapshot)); err != nil {
+			t.Fatal(err)
+		}
+		if a.Sum() != b.Sum() || a.Version() != b.Version() || a.Len() != b.Len() {
+			t.Fatal(a, b)
+		}
+	})
+}
+
+// FuzzDelta: whatever is told, a set takes all of it or nothing, and its sum is always that of what it holds.
+func FuzzDelta(f *testing.F) {
+	base := []Resource{con("a", 1), con("b", 1), res(Route, "h:1", "{}")}
+	s := filled(f, true, ver(5, 1), base...)
+	for _, d := range []*Delta{s.Snapshot(), s.Next(ver(5, 2), []Resource{con("a", 2), con("c", 1)}, []Key{key("b")}), s.Next(ver(6, 0), nil, nil)} {
+		data, err := Encode(d)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	for _, s := range []string{"", "{}", `{"from":"5.1","to":"5.2","sum":"0000000000000000","put":[{}]}`, `{"put":[null],"gone":[null]}`,
+		`{"from":"0.0","to":"9.9","sum":"0000000000000000"}`, `{"from":"5.1","to":"5.2","put":[{"kind":"contract","name":"a","spec":null}]}`,
+		`{"from":"5.1","to":"5.2","put":[{"kind":"contract","name":"a","spec":{"a": 1}}]}`} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		d, err := Decode(data)
+		if err != nil {
+			return
+		}
+		for _, specs := range []bool{true, false} {
+			s := filled(t, specs, ver(5, 1), base...)
+			checked := s.Check(d)
+			if err := s.Apply(d); (err == nil) != (checked == nil) {
+				t.Fatal(checked, err)
+			} else if err != nil {
+				holds(t, s, ver(5, 1), base...)
+				continue
+			}
+			want := d.Put
+			if !d.Whole() {
+				o := filled(t, true, ver(5, 1), base...)
+				if err := o.Apply(d); err != nil {
+					t.Fatal(err)
+				}
+				want = o.Snapshot().Put
+			}
+			holds(t, s, d.To, want...)
+			if s.Sum() != d.Sum {
+				t.Fatal(s.Sum(), d.Sum)
+			}
+			if _, err := Encode(d); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
+
+// sized is a set of the size of n tenants, as in two years' product: names and specs of the common lengths.
+func sized(n int) []Resource {
+	all := make([]Resource, 0, n+n/4)
+	for i := range n {
+		name := fmt.Sprintf("tenant-%05d", i)
+		all = append(all, res(Contract, name, fmt.Sprintf(`{"name":%q,"match":[{"path":"/t/%05d/"}],"rate":5,"burst":10,"weight":1,"class":"standard"}`, name, i)))
+		if i%17 < 4 {
+			all = append(all, res(Route, fmt.Sprintf("t%05d.example.org:443", i), fmt.Sprintf(`{"host":"t%05d.example.org","port":443,"service":"s%03d"}`, i, i%250)))
+		}
+	}
+	return all
+}
+
+// BenchmarkDelta is one changed contract, checked and applied, beside sets of two sizes: alike.
+func BenchmarkDelta(b *testing.B) {
+	for _, n := range []int{1700, 17000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s := filled(b, false, ver(1, 0), sized(n)...)
+			r := rand.New(rand.NewPCG(1, 1))
+			b.ReportAllocs()
+			for i := range b.N {
+				name := fmt.Sprintf("tenant-%05d", r.IntN(n))
+				if err := s.Apply(s.Next(ver(1, uint64(i)+1), []Resource{res(Contract, name, fmt.Sprintf(`{"rate":%d}`, i))}, nil)); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkHistory is one change taken in by a full history, and told to who is 100 changes behind.
+func BenchmarkHistory(b *testing.B) {
+	for _, n := range []int{1700, 17000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s, h := filled(b, true, ver(1, 0), sized(n)...), NewHistory(HistoryLimits{Deltas: 1000})
+			b.ReportAllocs()
+			for i := range b.N {
+				name := fmt.Sprintf("tenant-%05d", i%n)
+				d := s.Next(ver(1, uint64(i)+1), []Resource{res(Contract, name, fmt.Sprintf(`{"rate":%d}`, i+10))}, nil)
+				h.Add(0, d)
+				if err := s.Apply(d); err != nil {
+					b.Fatal(err)
+				}
+				if _, ok := h.Since(ver(1, uint64(max(0, i-99)))); !ok {
+					b.Fatal(i)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkSnapshot is the whole: read, checked, compared with what is held, and applied.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, n := range []int{1700, 17000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			data, err := Encode(filled(b, true, ver(2, 0), sized(n)...).Snapshot())
+			if err != nil {
+				b.Fatal(err)
+			}
+			old := sized(n)
+			b.SetBytes(int64(len(data)))
+			b.ReportAllocs()
+			for range b.N {
+				b.StopTimer()
+				s := filled(b, false, ver(1, 0), old[1:]...)
+				b.StartTimer()
+				d, err := Decode(data)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if err := s.Check(d); err != nil {
+					b.Fatal(err)
+				}
+				if err := s.Apply(s.Difference(d)); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkSetMemory reports the bytes of heap that a node's set takes for each resource, its names included.
+func BenchmarkSetMemory(b *testing.B) {
+	for _, specs := range []bool{false, true} {
+		b.Run(fmt.Sprintf("specs=%v", specs), func(b *testing.B) {
+			data, err := Encode(filled(b, true, ver(2, 0), sized(17000)...).Snapshot())
+			if err != nil {
+				b.Fatal(err)
+			}
+			var before, after runtime.MemStats
+			for range b.N {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				s := NewSet(specs)
+				d, err := Decode(data)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if err := s.Apply(d); err != nil {
+					b.Fatal(err)
+				}
+				d = nil
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(int64(after.HeapAlloc)-int64(before.HeapAlloc))/float64(s.Len()), "B/resource")
+				runtime.KeepAlive(s)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/resource/wire.go
@@ -0,0 +1,34 @@
+package resource
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+)
+
+// Encode writes a delta as JSON. Specs stay the bytes they are (json.Marshal would escape <, > and & in them, and their hashes
+// would not fit any more).
+func Encode(d *Delta) ([]byte, error) {
+	var buf bytes.Buffer
+	e := json.NewEncoder(&buf)
+	e.SetEscapeHTML(false)
+	if err := e.Encode(d); err != nil {
+		return nil, fmt.Errorf("delta to %v: %w", d.To, err)
+	}
+	if buf.Len() > MaxAnswer {
+		return nil, fmt.Errorf("delta to %v: %d bytes: at most %d", d.To, buf.Len(), MaxAnswer)
+	}
+	return buf.Bytes(), nil
+}
+
+// Decode reads a delta that Encode wrote; fields that are not known are passed over. What it says is for Set.Check to verify.
+func Decode(data []byte) (*Delta, error) {
+	if len(data) > MaxAnswer {
+		return nil, fmt.Errorf("delta: %d bytes: at most %d", len(data), MaxAnswer)
+	}
+	d := new(Delta)
+	if err := json.Unmarshal(data, d); err != nil {
+		return nil, fmt.Errorf("delta: %w", err)
+	}
+	return d, nil
+}
