Control serves versions of the configuration to nodes, by deltas over HTTP watches

Tests: a world of control processes and followers in virtual time; 450 followers that come back together; deltas lost, doubled, out of order, at the edge of what is kept; restarts with a clock set back; cuts.

--- /dev/null
+++ b/internal/control/counts.go
@@ -0,0 +1,58 @@
+package control
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+)
+
+// counts are what a server did since its start.
+type counts struct {
+	bytesIn, bytesOut              atomic.Int64
+	versions, reloads, badReloads  atomic.Int64
+	ok, bad, behind, full, refused atomic.Int64 // answers to calls for resources; refused: connections past the bound
+}
+
+func (c *counts) answered(status int) {
+	switch status {
+	case http.StatusOK:
+		c.ok.Add(1)
+	case http.StatusConflict:
+		c.behind.Add(1)
+	case http.StatusServiceUnavailable:
+		c.full.Add(1)
+	default:
+		c.bad.Add(1)
+	}
+}
+
+// countingListener counts the bytes on its connections.
+type countingListener struct {
+	net.Listener
+	counts *counts
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{c, l.counts}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	counts *counts
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.counts.bytesIn.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.counts.bytesOut.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/internal/control/follow/client_test.go
@@ -0,0 +1,433 @@
+package follow
+
+import (
+	"bufio"
+	"bytes"
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"portstall/internal/lab/standin"
+	"portstall/internal/resource"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const patience = 30 * time.Second
+
+// testClock runs only when it is told to. What is set on it is told on added.
+type testClock struct {
+	mu     sync.Mutex
+	now    time.Duration
+	timers []testTimer
+	added  chan time.Duration
+}
+
+type testTimer struct {
+	at time.Duration
+	f  func()
+}
+
+func newTestClock() *testClock {
+	return &testClock{now: time.Duration(1_764_640_000) * time.Second, added: make(chan time.Duration, 10_000)}
+}
+
+func (c *testClock) Now() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *testClock) AfterFunc(d time.Duration, f func()) {
+	c.mu.Lock()
+	c.timers = append(c.timers, testTimer{c.now + d, f})
+	c.mu.Unlock()
+	c.added <- d
+}
+
+// advance lets time pass, and fires what is due.
+func (c *testClock) advance(d time.Duration) {
+	c.mu.Lock()
+	c.now += d
+	var due []func()
+	keep := c.timers[:0]
+	for _, t := range c.timers {
+		if t.at <= c.now {
+			due = append(due, t.f)
+		} else {
+			keep = append(keep, t)
+		}
+	}
+	c.timers = keep
+	c.mu.Unlock()
+	for _, f := range due {
+		f()
+	}
+}
+
+// await returns once a timer for just so long is set.
+func (c *testClock) await(t *testing.T, d time.Duration) {
+	t.Helper()
+	for end := time.After(patience); ; {
+		select {
+		case got := <-c.added:
+			if got == d {
+				return
+			}
+		case <-end:
+			t.Fatalf("no timer for %v is set", d)
+		}
+	}
+}
+
+// raw answers each connection's first call with what write writes, and closes the connection once that returns.
+func raw(t *testing.T, write func(c net.Conn, r *http.Request)) string {
+	t.Helper()
+	ln, err := standin.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var open sync.WaitGroup
+	open.Add(1)
+	go func() {
+		defer open.Done()
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			open.Add(1)
+			go func() {
+				defer open.Done()
+				defer c.Close()
+				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					write(c, r)
+				}
+			}()
+		}
+	}()
+	t.Cleanup(func() {
+		ln.Close()
+		open.Wait()
+	})
+	return ln.Addr().String()
+}
+
+// untilClosed returns once the other side has closed the connection.
+func untilClosed(c net.Conn) { io.Copy(io.Discard, c) }
+
+func gzipped(text string) string {
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	io.WriteString(w, text)
+	w.Close()
+	return b.String()
+}
+
+// ok is an answer with a body of its length.
+func ok(body string, headers ...string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s\r\n%s", len(body), strings.Join(append(headers, ""), "\r\n"), body)
+}
+
+const delta = `{"from":"5.1","to":"5.2","sum":"00000000000000ab","later":{"x":[1]},"put":[{"kind":"contract","name":"a","spec":{"rate":1}}],` +
+	`"gone":[{"kind":"route","name":"h:1"}]}`
+
+func newClient(t *testing.T, clock Clock) (*Client, *Status) {
+	t.Helper()
+	s := &Status{}
+	c := NewClient("n0", "node", clock, s)
+	t.Cleanup(c.Close)
+	return c, s
+}
+
+var query = Query{Since: resource.Version{Epoch: 5, Number: 1}, Sum: 0xff, Wait: 12 * time.Second, Limit: 14 * time.Second}
+
+// What is asked, and what is read of an answer, plain and compressed; bytes are counted as they are on the wire.
+func TestGet(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct{ name, answer string }{
+		{"plain", ok(delta)},
+		{"gzip", ok(gzipped(delta), "Content-Encoding: gzip")},
+		{"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(delta), delta)},
+		{"interim head", "HTTP/1.1 103 Early Hints\r\n\r\n" + ok(delta)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			asked := make(chan *http.Request, 1)
+			addr := raw(t, func(conn net.Conn, r *http.Request) {
+				asked <- r
+				io.WriteString(conn, c.answer)
+			})
+			client, status := newClient(t, newTestClock())
+			q := query
+			q.Refused, q.Why = resource.Version{Epoch: 5, Number: 2}, "contract \"a\": rate: "+strings.Repeat("é", resource.MaxWhy)
+			d, err := client.Get(t.Context(), addr, &q)
+			if err != nil {
+				t.Fatal(err)
+			}
+			want := resource.Delta{From: resource.Version{Epoch: 5, Number: 1}, To: resource.Version{Epoch: 5, Number: 2}, Sum: 0xab,
+				Put:  []resource.Resource{{Key: resource.Key{Kind: resource.Contract, Name: "a"}, Spec: json.RawMessage(`{"rate":1}`)}},
+				Gone: []resource.Key{{Kind: resource.Route, Name: "h:1"}}}
+			if got, want := fmt.Sprintf("%+v", *d), fmt.Sprintf("%+v", want); got != want {
+				t.Errorf("read %s, want %s", got, want)
+			}
+			r := await(t, asked, "the call")
+			v := r.URL.Query()
+			for name, want := range map[string]string{"since": "5.1", "sum": "00000000000000ff", "timeout_ms": "12000", "name": "n0", "role": "node", "refused": "5.2"} {
+				if v.Get(name) != want {
+					t.Errorf("asked with %s=%q, want %q", name, v.Get(name), want)
+				}
+			}
+			if why := v.Get("why"); len(why) > resource.MaxWhy || !strings.HasPrefix(why, `contract "a": rate: é`) || strings.ContainsRune(why, '\uFFFD') {
+				t.Errorf("asked with why=%q", why)
+			}
+			if r.Method != "GET" || r.URL.Path != "/v1/resources" || r.Header.Get("Accept-Encoding") != "gzip" {
+				t.Errorf("asked %s %s %v", r.Method, r.URL.Path, r.Header)
+			}
+			f := status.Read()
+			if f.Calls != 1 || f.Answers != 1 || f.BytesIn != int64(len(c.answer)) || f.BytesOut < 100 {
+				t.Errorf("counted %+v, the answer has %d bytes", f, len(c.answer))
+			}
+		})
+	}
+}
+
+// A first call names no version.
+func TestGetFirst(t *testing.T) {
+	t.Parallel()
+	asked := make(chan string, 1)
+	addr := raw(t, func(conn net.Conn, r *http.Request) {
+		asked <- r.URL.RawQuery
+		io.WriteString(conn, ok(delta))
+	})
+	client, _ := newClient(t, newTestClock())
+	if _, err := client.Get(t.Context(), addr, &Query{Limit: time.Second}); err != nil {
+		t.Fatal(err)
+	}
+	if got := await(t, asked, "the call"); got != "name=n0&role=node" {
+		t.Errorf("asked %q", got)
+	}
+}
+
+// Whatever comes in an answer's place ends the call with its kind. Each of these is over at once: nothing waits for a deadline.
+func TestGetFails(t *testing.T) {
+	t.Parallel()
+	long := `{"from":"5.1","to":"5.2","sum":"00000000000000ab","put":[{"kind":"contract","name":"` + strings.Repeat("a", resource.MaxAnswer) + `"}]}`
+	many := `{"from":"5.1","to":"5.2","sum":"00000000000000ab","gone":[` + strings.Repeat("{},", resource.MaxResources) + `{}]}`
+	for _, c := range []struct {
+		name, answer string
+		kind         Kind
+		says         string
+	}{
+		{"closed before a word", "", Unreachable, "EOF"},
+		{"behind", "HTTP/1.1 409 Conflict\r\nContent-Length: 5\r\n\r\n5.0\r\n", Behind, "409 Conflict: 5.0"},
+		{"full", "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n", Full, "503"},
+		{"bad call", "HTTP/1.1 400 Bad Request\r\nContent-Length: 4\r\n\r\nname", OtherStatus, "400 Bad Request: name"},
+		{"sent elsewhere", "HTTP/1.1 302 Found\r\nLocation: http://127.0.0.1:1/\r\nContent-Length: 0\r\n\r\n", OtherStatus, "302"},
+		{"no HTTP", "hello\r\n\r\n", Malformed, "malformed"},
+		{"a head over the bound", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("a", 2*maxHead) + "\r\n\r\n", Malformed, "exceeded"},
+		{"cut off in the middle", ok(delta)[:len(ok(delta))-20], Broken, "unexpected EOF"},
+		{"cut off in a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nff\r\n" + delta[:50], Broken, "unexpected EOF"},
+		{"cut off behind its JSON", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(delta)+1, delta), Broken, "unexpected EOF"},
+		{"JSON that ends early", ok(delta[:len(delta)-30]), Malformed, "unexpected"},
+		{"JSON that ends between tokens", ok(`{"from":"5.1"`), Malformed, "unexpected EOF"},
+		{"no JSON", ok("<html>"), Malformed, "invalid character"},
+		{"nothing", ok(""), Malformed, "EOF"},
+		{"null", ok("null"), Malformed, `where "{" is due`},
+		{"a list", ok("[]"), Malformed, `where "{" is due`},
+		{"no from", ok(`{"to":"5.2","sum":"0000000000000000"}`), Malformed, "from: missing"},
+		{"no to", ok(`{"from":"5.2","sum":"0000000000000000"}`), Malformed, "to: missing"},
+		{"no sum", ok(`{"from":"5.1","to":"5.2"}`), Malformed, "sum: missing"},
+		{"a field twice", ok(`{"from":"5.1","from":"0.0","to":"5.2","sum":"0000000000000000"}`), Malformed, "from: twice"},
+		{"a version that is none", ok(`{"from":"5","to":"5.2","sum":"0000000000000000"}`), Malformed, `from: "5" is no version`},
+		{"a put of another type", ok(`{"from":"5.1","to":"5.2","sum":"0000000000000000","put":{}}`), Malformed, "put: "},
+		{"an element of another type", ok(`{"from":"5.1","to":"5.2","sum":"0000000000000000","put":[{"kind":1}]}`), Malformed, "put: [0]: "},
+		{"more behind it", ok(delta + "{}"), Malformed, "something follows"},
+		{"too many", ok(many), Malformed, "gone: over 100000 elements"},
+		{"too long", ok(long), TooLong, "over 16777216 bytes"},
+		{"too long once it is out of gzip", ok(gzipped(long), "Content-Encoding: gzip"), TooLong, "over 16777216 bytes"},
+		{"no gzip", ok(delta, "Content-Encoding: gzip"), Malformed, "gzip"},
+		{"gzip that ends early", ok(gzipped(delta)[:60], "Content-Encoding: gzip"), Malformed, "unexpected EOF"},
+		{"gzip that ends early behind its JSON", ok(gzipped(delta)[:len(gzipped(delta))-4], "Content-Encoding: gzip"), Malformed, "EOF"},
+		{"gzip with a wrong sum", ok(gzipped(delta)[:len(gzipped(delta))-8]+"12345678", "Content-Encoding: gzip"), Malformed, "checksum"},
+		{"gzip and more", ok(gzipped(delta)+"x", "Content-Encoding: gzip"), Malformed, "EOF"},
+		{"another coding", ok(delta, "Content-Encoding: br"), Malformed, `"br" was not asked for`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			addr := raw(t, func(conn net.Conn, _ *http.Request) { io.WriteString(conn, c.answer) })
+			client, status := newClient(t, newTestClock())
+			d, err := client.Get(t.Context(), addr, &query)
+			var call *CallError
+			if d != nil || !errors.As(err, &call) {
+				t.Fatalf("%v, %v", d, err)
+			}
+			if call.Kind != c.kind || !strings.Contains(err.Error(), c.says) || call.Source != addr || len(err.Error()) > 600 {
+				t.Errorf("%v: %v, want %s: %s", call.Kind, err, c.kind, c.says)
+			}
+			if f := status.Read(); f.Calls != 1 || f.Answers != 0 {
+				t.Errorf("counted %+v", f)
+			}
+		})
+	}
+	t.Run("nobody there", func(t *testing.T) {
+		addr, err := standin.FreeAddr()
+		if err != nil {
+			t.Fatal(err)
+		}
+		client, _ := newClient(t, newTestClock())
+		_, err = client.Get(t.Context(), addr, &query)
+		var call *CallError
+		if !errors.As(err, &call) || call.Kind != Unreachable {
+			t.Errorf("%v", err)
+		}
+	})
+}
+
+// An answer that does not begin is given up at the call's limit, and one that does not end so long after its first byte; the
+// connection is closed then.
+func TestGetGivesUp(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name  string
+		begin string
+		limit time.Duration // the timer that ends it
+		kind  Kind
+	}{
+		{"silent", "", query.Limit, Silent},
+		{"a head that does not end", "HTTP/1.1 200 OK\r\nX: ", headWait, Broken},
+		{"an interim head and no more", "HTTP/1.1 103 Early Hints\r\n\r\n", headWait, Broken},
+		{"a body that does not end", ok(delta)[:200], resource.BodyLimit(int64(len(delta))), Broken},
+		{"chunks that do not end", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n{\r\n", resource.BodyLimit(-1), Broken},
+		{"an error's text that does not end", "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 100\r\n\r\nso", resource.BodyLimit(100), Broken},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			asked, closed := make(chan struct{}), make(chan struct{})
+			addr := raw(t, func(conn net.Conn, _ *http.Request) {
+				defer close(closed)
+				close(asked)
+				io.WriteString(conn, c.begin)
+				untilClosed(conn)
+			})
+			clock := newTestClock()
+			client, _ := newClient(t, clock)
+			got := make(chan error, 1)
+			go func() {
+				_, err := client.Get(t.Context(), addr, &query)
+				got <- err
+			}()
+			await(t, asked, "the call")
+			clock.await(t, c.limit)
+			clock.advance(c.limit - 1)
+			select {
+			case err := <-got:
+				t.Fatalf("given up early: %v", err)
+			default:
+			}
+			clock.advance(1)
+			var call *CallError
+			if err := await(t, got, "the call's end"); !errors.As(err, &call) || call.Kind != c.kind {
+				t.Errorf("%v, want %s", err, c.kind)
+			}
+			await(t, closed, "the connection's end")
+		})
+	}
+}
+
+// Bytes that trickle do not put the end off: it is counted from the first one.
+func TestGetTrickle(t *testing.T) {
+	t.Parallel()
+	clock := newTestClock()
+	addr := raw(t, func(conn net.Conn, _ *http.Request) {
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n{\r\n")
+		clock.await(t, resource.BodyLimit(-1))
+		for range 10 {
+			if _, err := io.WriteString(conn, "1\r\n \r\n"); err != nil {
+				return
+			}
+			clock.advance(resource.BodyLimit(-1) / 10)
+		}
+		untilClosed(conn)
+	})
+	client, _ := newClient(t, clock)
+	_, err := client.Get(t.Context(), addr, &query)
+	var call *CallError
+	if !errors.As(err, &call) || call.Kind != Broken {
+		t.Errorf("%v", err)
+	}
+}
+
+// Calls share a connection, and the end of the caller's context ends a call.
+func TestGetConnections(t *testing.T) {
+	t.Parallel()
+	ln, err := standin.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var conns sync.Map
+	held := make(chan struct{}, 1)
+	srv := &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Query().Get("timeout_ms") == "1000" {
+				held <- struct{}{}
+				<-r.Context().Done()
+				return
+			}
+			io.WriteString(w, delta)
+		}),
+		ConnState: func(c net.Conn, s http.ConnState) { conns.Store(c.RemoteAddr().String(), true) },
+	}
+	go srv.Serve(ln)
+	defer srv.Close()
+	client, status := newClient(t, newTestClock())
+	for range 20 {
+		if _, err := client.Get(t.Context(), ln.Addr().String(), &query); err != nil {
+			t.Fatal(err)
+		}
+	}
+	n := 0
+	conns.Range(func(any, any) bool { n++; return true })
+	if n != 1 {
+		t.Errorf("%d connections for 20 calls", n)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-held
+		cancel()
+	}()
+	if _, err := client.Get(ctx, ln.Addr().String(), &Query{Wait: time.Second, Limit: time.Hour}); !errors.Is(err, context.Canceled) {
+		t.Errorf("%v", err)
+	}
+	t.Logf("%d bytes in and %d out a call", status.Read().BytesIn/20, status.Read().BytesOut/21)
+}
+
+// BenchmarkGet is a call whose answer is there.
+func BenchmarkGet(b *testing.B) {
+	ln, err := standin.Listen()
+	if err != nil {
+		b.Fatal(err)
+	}
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, delta) })}
+	go srv.Serve(ln)
+	defer srv.Close()
+	c := NewClient("n0", "node", SystemClock(), &Status{})
+	defer c.Close()
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := c.Get(b.Context(), ln.Addr().String(), &query); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/follow/decode.go
@@ -0,0 +1,113 @@
+package follow
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"portstall/internal/resource"
+)
+
+// decode reads a delta resource by resource, so that a snapshot's text is never held whole. What is not known is passed over;
+// from, to and sum must be there, as a delta without them would read as a snapshot of nothing.
+func decode(r io.Reader) (*resource.Delta, error) {
+	d := &resource.Delta{}
+	dec := json.NewDecoder(&blanks{r: r})
+	if err := delim(dec, '{'); err != nil {
+		return nil, err
+	}
+	seen := map[string]bool{}
+	for dec.More() {
+		t, err := dec.Token()
+		if err != nil {
+			return nil, early(err)
+		}
+		field, _ := t.(string)
+		if seen[field] {
+			return nil, fmt.Errorf("%s: twice", field)
+		}
+		known := true
+		switch field {
+		case "from":
+			err = dec.Decode(&d.From)
+		case "to":
+			err = dec.Decode(&d.To)
+		case "sum":
+			err = dec.Decode(&d.Sum)
+		case "put":
+			err = list(dec, func() error {
+				var r resource.Resource
+				err := dec.Decode(&r)
+				d.Put = append(d.Put, r)
+				return err
+			})
+		case "gone":
+			err = list(dec, func() error {
+				var k resource.Key
+				err := dec.Decode(&k)
+				d.Gone = append(d.Gone, k)
+				return err
+			})
+		default:
+			var skip json.RawMessage
+			err, known = dec.Decode(&skip), false
+		}
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", field, early(err))
+		}
+		if known {
+			seen[field] = true
+		}
+	}
+	if err := delim(dec, '}'); err != nil {
+		return nil, err
+	}
+	for _, field := range []string{"from", "to", "sum"} {
+		if !seen[field] {
+			return nil, fmt.Errorf("%s: missing", field)
+		}
+	}
+	switch _, err := dec.Token(); {
+	case err == nil:
+		return nil, errors.New("something follows behind the answer")
+	case err != io.EOF:
+		return nil, err
+	}
+	return d, nil
+}
+
+// list reads the elements of a list, as many as a set may have.
+func list(dec *json.Decoder, element func() error) error {
+	if err := delim(dec, '['); err != nil {
+		return err
+	}
+	for n := 0; dec.More(); n++ {
+		if n == resource.MaxResources {
+			return fmt.Errorf("over %d elements", resource.MaxResources)
+		}
+		if err := element(); err != nil {
+			return fmt.Errorf("[%d]: %w", n, err)
+		}
+	}
+	return delim(dec, ']')
+}
+
+func delim(dec *json.Decoder, want json.Delim) error {
+	t, err := dec.Token()
+	if err != nil {
+		return early(err)
+	}
+	if t != want {
+		return fmt.Errorf("%v where %q is due", t, want)
+	}
+	return nil
+}
+
+// early makes the end of the text, where something is due, an error like others.
+func early(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
--- /dev/null
+++ b/internal/control/size_test.go
@@ -0,0 +1,256 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"portstall/internal/control/follow"
+	"portstall/internal/resource"
+)
+
+// sized writes 17,000 contracts, 3,800 routes and 250 services, or fewer alike, into so many files of a folder.
+func sized(t testing.TB, contracts, files int) string {
+	t.Helper()
+	dir := t.TempDir()
+	services, routes := contracts*250/17000, contracts*3800/17000
+	for f := range files {
+		put(t, filepath.Join(dir, fmt.Sprintf("%04d.yaml", f)), sizedText(f, files, contracts, services, routes, 5))
+	}
+	return dir
+}
+
+func sizedText(f, files, contracts, services, routes int, rate float64) string {
+	var b strings.Builder
+	part := func(n int) (from, to int) { return n * f / files, n * (f + 1) / files }
+	if from, to := part(services); from < to {
+		b.WriteString("services:\n")
+		for i := from; i < to; i++ {
+			fmt.Fprintf(&b, "  - name: service-%d\n    classes: [{name: read-%d}, {name: write-%d, effect: keyed}, {name: list-%d}, {name: pay-%d, effect: unsafe}]\n", i, i, i, i, i)
+		}
+	}
+	if from, to := part(contracts); from < to {
+		b.WriteString("contracts:\n")
+		for i := from; i < to; i++ {
+			s := i % services
+			fmt.Fprintf(&b, "  - name: tenant-%d\n    match: [{tenant: tenant-%d}]\n    services: [service-%d]\n    rate: %v\n    burst: 10\n    in_flight: 20\n"+
+				"    attempts: {ratio: 0.2}\n    retries: [read-%d, list-%d]\n    work: {limit: 3}\n", i, i, s, rate, s, s)
+		}
+	}
+	if from, to := part(routes); from < to {
+		b.WriteString("tunnels:\n  routes:\n")
+		for i := from; i < to; i++ {
+			fmt.Fprintf(&b, "    - {host: host-%d.services.example.org, port: 443, service: service-%d}\n", i, i%services)
+		}
+	}
+	return b.String()
+}
+
+// cpu is the processor time of this process.
+func cpu() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// One change wakes 450 followers' watches, on a connection each, and reaches all; none needs the whole again. The log says what it cost,
+// of control and of the 450 together, as they are one process here.
+func TestOneChangeWakesAll(t *testing.T) {
+	const nodes = 450
+	p := begin(t, "", ServeOptions{Files: folder(t, map[string]string{"a.yaml": contractText(many("c", 500)...)})})
+	p.version(t, resource.Version{})
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	taken := make(chan *resource.Delta, 10*nodes)
+	var status [nodes]follow.Status
+	for i := range nodes {
+		group.Go(func() {
+			set := resource.NewSet(false)
+			follow.Run(ctx, follow.Options{Name: fmt.Sprint("n", i), Role: "node", Sources: []string{p.addr}, Set: set, Status: &status[i], Take: func(d *resource.Delta) error {
+				defer func() { taken <- d }()
+				return set.Apply(d)
+			}})
+		})
+	}
+	all := func(from resource.Version) {
+		t.Helper()
+		for range nodes {
+			select {
+			case d := <-taken:
+				if d.From != from {
+					t.Fatalf("%v to %v, want from %v", d.From, d.To, from)
+				}
+			case <-time.After(patience):
+				t.Fatal("some node gets no change")
+			}
+		}
+	}
+	all(resource.Version{})
+	for range nodes {
+		p.holds(t)
+	}
+	v := p.version(t, resource.Version{})
+	in, out, used, at := p.counts.bytesIn.Load(), p.counts.bytesOut.Load(), cpu(), time.Now()
+	p.edit(t, "b.yaml", contractText("new"))
+	all(v)
+	took, used := time.Since(at), cpu()-used
+	for range nodes {
+		p.holds(t)
+	}
+	t.Logf("a change at %d followers after %v, %v of processor time of them and control together; control read %d bytes and wrote %d a follower, with the next call",
+		nodes, took, used, (p.counts.bytesIn.Load()-in)/nodes, (p.counts.bytesOut.Load()-out)/nodes)
+	cancel()
+	group.Wait()
+	for i := range nodes {
+		if f := status[i].Read(); f.Snapshots != 1 || f.Deltas != 1 {
+			t.Fatalf("%+v", f)
+		}
+	}
+}
+
+// watchers hold calls on raw connections that only count what comes, so that what is measured is control's.
+type watchers struct {
+	t     testing.TB
+	conns []net.Conn
+	p     *process
+}
+
+func (w *watchers) ask(v resource.Version, sum resource.Sum) {
+	s, _ := sum.MarshalText()
+	for i, c := range w.conns {
+		fmt.Fprintf(c, "GET /v1/resources?name=n%d&role=node&since=%v&sum=%s&timeout_ms=60000 HTTP/1.1\r\nHost: x\r\nAccept-Encoding: gzip\r\n\r\n", i, v, s)
+	}
+	for range w.conns {
+		w.p.holds(w.t)
+	}
+}
+
+// BenchmarkChange is one change told to 450 watches that wait, and their next calls; with the reading of one file of 85 contracts of
+// 200, at 17,000 contracts, 3,800 routes and 250 services. Its callers only write and count, in this process too.
+func BenchmarkChange(b *testing.B) {
+	const nodes = 450
+	for _, n := range []int{1700, 17000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			dir := sized(b, n, 200)
+			p := begin(b, "", ServeOptions{Files: dir})
+			p.version(b, resource.Version{})
+			w := &watchers{t: b, p: p}
+			for range nodes {
+				c, err := net.Dial("tcp", p.addr)
+				if err != nil {
+					b.Fatal(err)
+				}
+				defer c.Close()
+				w.conns = append(w.conns, c)
+			}
+			buf := make([]byte, 64<<10)
+			version := func() (resource.Version, resource.Sum) {
+				p.mu.Lock()
+				defer p.mu.Unlock()
+				return p.book.Set().Version(), p.book.Set().Sum()
+			}
+			w.ask(version())
+			out, used, reads, i := p.counts.bytesOut.Load(), cpu(), p.writer.source.Reads(), 0
+			b.ResetTimer()
+			for b.Loop() {
+				i++
+				put(b, filepath.Join(dir, "0007.yaml"), sizedText(7, 200, n, n*250/17000, n*3800/17000, float64(5+i%7)))
+				if _, err := p.reread(); err != nil {
+					b.Fatal(err)
+				}
+				for _, c := range w.conns {
+					if _, err := io.ReadAtLeast(c, buf, 1); err != nil {
+						b.Fatal(err)
+					}
+				}
+				w.ask(version())
+			}
+			b.StopTimer()
+			b.ReportMetric(float64((cpu()-used).Microseconds())/1000/float64(i), "cpu-ms/op")
+			b.ReportMetric(float64(p.counts.bytesOut.Load()-out)/float64(i)/nodes, "B/watch")
+			b.ReportMetric(float64(p.writer.source.Reads()-reads)/float64(i), "files/op")
+			p.stop()
+		})
+	}
+}
+
+// BenchmarkRead is a folder's reading as at a start, and of one file of it that changed. What lives behind it is reported as heap.
+func BenchmarkRead(b *testing.B) {
+	for _, files := range []int{1, 200} {
+		dir := sized(b, 17000, files)
+		b.Run(fmt.Sprint("start/", files), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if err := newWriter(dir).load(); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.StopTimer()
+			before := liveHeap()
+			w := newWriter(dir)
+			if err := w.load(); err != nil {
+				b.Fatal(err)
+			}
+			b.ReportMetric(float64(liveHeap()-before)/(1<<20), "heap-MB")
+			runtime.KeepAlive(w)
+		})
+		b.Run(fmt.Sprint("one file of/", files), func(b *testing.B) {
+			s := NewSource(dir)
+			if _, err := s.Read(); err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				put(b, filepath.Join(dir, "0000.yaml"), sizedText(0, files, 17000, 250, 3800, float64(5+i%7)))
+				if _, err := s.Read(); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+func liveHeap() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkSnapshotText is the text of the whole at size, plain and compressed.
+func BenchmarkSnapshotText(b *testing.B) {
+	w := newWriter(sized(b, 17000, 200))
+	if err := w.load(); err != nil {
+		b.Fatal(err)
+	}
+	book := NewBook(Limits{})
+	if _, err := book.Begin(start, nil, w.source.All()); err != nil {
+		b.Fatal(err)
+	}
+	d := book.Set().Snapshot()
+	for _, zip := range []bool{false, true} {
+		b.Run(fmt.Sprint("zip/", zip), func(b *testing.B) {
+			b.ReportAllocs()
+			n := 0
+			for b.Loop() {
+				text, _, err := newAnswers().of(d, zip)
+				if err != nil {
+					b.Fatal(err)
+				}
+				n = len(text)
+			}
+			b.ReportMetric(float64(n), "B")
+		})
+	}
+}
