--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -8,9 +8,11 @@
 	"net"
 	"os"
 	"strconv"
+	"syscall"
 	"time"
 
 	"portstall/internal/config"
+	"portstall/internal/control/follow"
 	"portstall/internal/core"
 	"portstall/internal/mgmt"
 	"portstall/internal/wire"
@@ -35,10 +37,14 @@
 	// process: the whole process is this node, so that its limits are the process's. Not so in tests, which run many in one.
 	process bool
 	meet    string        // in tests, the socket where processes of one node meet
-	slack   time.Duration // in tests, is added to what clients and web servers have for what is begun
+	slack   time.Duration // in tests, is added to what clients, web servers and other processes have for what is begun
 	clock   core.Clock    // in tests, the node's; nil: the system's
 	// watch is how tests set the times of a call to discovery: its wait and the limit on the whole.
 	watch func(wait, limit time.Duration) (time.Duration, time.Duration)
+
+	followed *followed             // what control tells; nil where none is named
+	follow   func(*follow.Options) // in tests, sets how control is asked
+	prepared func()                // in tests, is called behind each check of a change, before the change is in force
 }
 
 // What a file may tell at most: beyond it a figure is a mistake, and would overflow what is worked out from it.
@@ -48,7 +54,9 @@
 	maxSockets  = 1 << 24
 )
 
-// clientLimit is how many of the descriptors are for clients, poolLimit for backends. The rest is a reserve.
+// clientLimit is how many of the descriptors are for clients, poolLimit for backends. The front takes an eighth more than
+// clientLimit, to refuse those; together they leave a sixteenth of what is shared. What the node needs for itself, discovery
+// and control among it, is off before and never theirs.
 func (c *Config) clientLimit() int { return c.shared() / 2 }
 func (c *Config) poolLimit() int   { return c.shared() * 3 / 8 }
 
@@ -57,7 +65,7 @@
 	if c.clock != nil {
 		return c.clock
 	}
-	return clock{time.Now()}
+	return follow.SystemClock()
 }
 
 // bodyBytes is how much of the bodies of all requests and answers may be held at a time.
@@ -68,16 +76,57 @@
 	return int64(c.MemoryMB) << 20 / 8
 }
 
+// leastShared is what clients and backends share at least, however few descriptors there are.
+const leastShared = 8
+
 // shared is how many descriptors clients and backends share.
 func (c *Config) shared() int {
-	if c.Sockets == 0 {
-		return 1 << 21 // no limit was told
+	all := c.Sockets
+	if all == 0 {
+		all = 1 << 21 // no limit was told
+	}
+	if c.process {
+		// What was told may be more than what the system gives: then it counts, as nothing would be kept back otherwise.
+		var lim syscall.Rlimit
+		if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &lim); err == nil && lim.Cur < uint64(all) {
+			all = int(lim.Cur)
+		}
 	}
 	own := ownSockets
 	if c.Mgmt != "" {
-		own += mgmt.MaxConns
+		own += mgmtSockets
+	}
+	rest := all - own
+	// What the product's file asks for is never more than half of what is left: the node is there for clients.
+	rest -= max(0, min(c.productSockets(), rest/2))
+	return max(leastShared, rest)
+}
+
+// mgmtSockets is the operators' listener, their connections, and one that comes and has not made the oldest go yet.
+const mgmtSockets = mgmt.MaxConns + 2
+
+// productSockets is what the parts of the product's file hold at most beside what they share with clients and backends.
+func (c *Config) productSockets() int {
+	f, n := c.Product, 0
+	if f == nil {
+		return 0
+	}
+	if f.Tunnels != nil {
+		n += 2 + 2 + 64 // listeners, a connection that each has just taken, and clients that ask
+	}
+	if f.Members != nil {
+		n += 2 + 1 + 2*32 // sockets, one that was just taken, and lists that come and go
+	}
+	if f.State != nil {
+		n += 3 // the directory, its lock, a file that is being written
+	}
+	if f.Health != nil && f.Health.Checks != nil {
+		n += probesMost
+	}
+	if f.Health != nil && f.Health.Answer != nil {
+		n += 3 * (1 + 128) // listeners, and who checks at each
 	}
-	return max(0, c.Sockets-own)
+	return n
 }
 
 // Load reads the configuration from the GW_* variables and the file that GW_CONFIG names; a variable that is
--- a/internal/node/contracts.go
+++ b/internal/node/contracts.go
@@ -13,17 +13,26 @@
 	"portstall/policy"
 )
 
-// contracts compiles those of the product's own file for the classes that the settings know. Nil where there are none.
+// contracts compiles those of the product's own file for the classes that the settings know. Nil where there are none, and none where
+// control tells them: the part of them that a process hands out, and what a predecessor has spent, count from the first on.
 func (c *Config) contracts() (*contract.Table, error) {
+	if c.followed != nil {
+		return contract.NewTable(nil)
+	}
 	if c.Product == nil {
 		return nil, nil
 	}
+	return config.Compile(c.Product, c.effects())
+}
+
+// effects are those of the classes that the settings know, as the product's own file names them.
+func (c *Config) effects() map[string]string {
 	names := map[policy.Effect]string{policy.Safe: "safe", policy.Keyed: "keyed", policy.Unsafe: "unsafe"}
 	effects := map[string]string{}
 	for _, class := range c.Settings.Policy.Classes {
 		effects[class.Name] = names[class.Effect]
 	}
-	return config.Compile(c.Product, effects)
+	return effects
 }
 
 // Explanation is what a node answers an operator who asks why.
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -55,6 +55,7 @@
 	leave context.CancelFunc
 
 	watching bool          // guarded by the core's lock
+	rhythm   rhythm        // the watch loop's: what it has seen of discovery outlasts a loss
 	whole    bool          // its whole list is still to be asked for: its versions tell nothing before; guarded by the core's lock
 	told     time.Duration // what it has counts as told then, whether or not it was asked; 0: it is not said. Set before it is shared
 }
@@ -89,7 +90,8 @@
 // loop watches until the discovery is left. Where lists are pushed, or a fresh one is owed, it goes on after a failure;
 // elsewhere a failure is told to the policy, which says when to ask again.
 func (d *discovery) loop() {
-	r := &rhythm{}
+	r := &d.rhythm
+	r.resume()
 	for d.ctx.Err() == nil {
 		begun, set := time.Now(), d.node.set.Load().Policy // a reload may have changed them
 		r.push, r.grace = !set.MustAsk, set.DrainGrace
@@ -103,14 +105,15 @@
 		if t := d.node.cfg.watch; t != nil {
 			wait, limit = t(wait, limit)
 		}
-		over := d.node.core.Now() + wait
+		r.begin(d.node.core.Now())
+		over := r.began + wait
 		query := fmt.Sprintf("?since=%d&timeout_ms=%d", since, wait.Milliseconds())
 		if whole {
 			query = ""
 		}
 		l, how, err := d.call(query, limit, r.body()+d.node.cfg.slack)
 		if err == nil {
-			r.answered()
+			r.answered(d.node.core.Now(), whole || l.Full || len(l.Servers) > 0)
 			kind := policy.ListDelta
 			if whole || l.Full {
 				kind = policy.ListFull
@@ -202,7 +205,7 @@
 	}
 	if resp.StatusCode != http.StatusOK {
 		came.Store(0) // it tells nothing of the list
-		return nil, failedCall, errors.New("discovery answered " + strconv.Itoa(resp.StatusCode))
+		return nil, turnedAway, errors.New("discovery answered " + strconv.Itoa(resp.StatusCode))
 	}
 	l = &list{came: time.Duration(came.Load())}
 	if err := json.Unmarshal(text, l); err != nil {
--- a/internal/node/idle_test.go
+++ b/internal/node/idle_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -9,6 +10,7 @@
 
 	"portstall/internal/flow"
 	"portstall/internal/lab/standin"
+	"portstall/internal/message"
 )
 
 // cutting is a connection to a server on which the server's end goes once a part of the first write has come there.
@@ -96,3 +98,37 @@
 		}
 	}
 }
+
+// A connection that a client keeps makes room for a new one in the moment between the first byte of its next request and the note of
+// it. That request has its one answer, a refusal, as it is one too many then; it reaches no server, and the connection closes behind it.
+func TestRoomIsMadeAmidARequest(t *testing.T) {
+	t.Parallel()
+	b := newBox(t, served)
+	r := newRig(t, newRegistry(t), settingsJSON, unhurried, b.entry("s-1"))
+	r.clients.Resize(1)
+	kept := apart(t)
+	reads := 0 // that brought something
+	x := &crossing{TCPConn: kept.end.(*net.TCPConn), between: func() {
+		if reads++; reads != 2 {
+			return
+		}
+		if resp, body := r.dial(t).ask(view("new")); resp.StatusCode != http.StatusOK {
+			t.Errorf("the new one: %d %q", resp.StatusCode, body)
+		}
+	}}
+	r.clients.Take()
+	r.clients.Go(func() { r.clients.Serve(x, bufio.NewReaderSize(x, message.HeadSize), "") })
+	if resp, _ := kept.ask(view("first")); resp.StatusCode != http.StatusOK || resp.Close {
+		t.Fatalf("the first: %d, close %v", resp.StatusCode, resp.Close)
+	}
+	resp, body := kept.ask(quote("second"))
+	if resp.StatusCode != http.StatusServiceUnavailable || body != "too many connections\n" || !resp.Close || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("the second: %d %q, close %v, come back in %q", resp.StatusCode, body, resp.Close, resp.Header.Get("Retry-After"))
+	}
+	if n, err := kept.in.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+		t.Errorf("behind it: %d more bytes, %v", n, err)
+	}
+	if n := len(b.requests()); n != 2 {
+		t.Errorf("%d requests reached the server, want the first and the new one", n)
+	}
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -19,18 +19,20 @@
 // were used. What is left out is counted.
 const levelsMost = 200
 
+// asJSON writes a value, unless there is an error.
+func asJSON(w io.Writer, v any, err error) error {
+	if err != nil {
+		return err
+	}
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
 // pages are what operators can read beyond the platform's calls, where the product's own file is named.
 func (n *node) pages() []mgmt.Page {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(&collector{node: n})
-	asJSON := func(w io.Writer, v any, err error) error {
-		if err != nil {
-			return err
-		}
-		enc := json.NewEncoder(w)
-		enc.SetIndent("", "  ")
-		return enc.Encode(v)
-	}
 	pages := []mgmt.Page{
 		{Path: "explain", Type: "application/json", Write: func(w io.Writer, q url.Values) error {
 			v, err := n.Explain(q)
@@ -74,6 +76,9 @@
 			return asJSON(w, v, err)
 		}})
 	}
+	if n.cfg.followed != nil {
+		pages = append(pages, n.cfg.followed.page())
+	}
 	return pages
 }
 
@@ -111,6 +116,9 @@
 	for cause, n := range tunnels.Ended {
 		ch <- prometheus.MustNewConstMetric(endedDesc, prometheus.CounterValue, float64(n), string(cause))
 	}
+	if f := c.node.cfg.followed; f != nil {
+		f.collect(ch)
+	}
 	for desc, v := range gauges {
 		ch <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, v)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"portstall/internal/core"
 	"portstall/internal/flow"
 	fronthttp "portstall/internal/front/http"
+	"portstall/internal/front/tunnel"
 	"portstall/internal/handover"
 	"portstall/internal/member"
 	"portstall/internal/message"
@@ -33,7 +34,7 @@
 
 const (
 	minSockets = 64 // with fewer descriptors a node cannot serve
-	ownSockets = 16 // descriptors for anything but clients and backends
+	ownSockets = 24 // descriptors for anything but clients and backends: ownNeeds names them
 	transit    = 10 * time.Millisecond
 	// acceptFor is how long after SIGTERM connections are still accepted: the front notices only after a while.
 	acceptFor = 500 * time.Millisecond
@@ -70,11 +71,12 @@
 	nextNum  uint32
 	version  int64 // of the list
 	past     map[string]past
-	cells    *cells       // nil: there are none
-	checker  *checker     // nil: nothing is checked; its own lock guards it
-	edge     *member.Edge // nil: no talk among instances
-	ways     []config.Way // to web servers behind proxies; not changed after the start
-	ready    bool         // some backend is listed as ready
+	cells    *cells        // nil: there are none
+	checker  *checker      // nil: nothing is checked; its own lock guards it
+	edge     *member.Edge  // nil: no talk among instances
+	ways     []config.Way  // to web servers behind proxies; not changed after the start
+	routes   *tunnel.Table // where control tells them; else nil. Changed in place under the lock, read without it as well
+	ready    bool          // some backend is listed as ready
 }
 
 // backend is one web server as the roster knows it. All but the server itself is guarded by the core's lock.
@@ -86,16 +88,6 @@
 	left    bool    // off the list
 }
 
-// clock tells Unix time that runs on evenly when the system's clock is set.
-type clock struct{ start time.Time }
-
-// Now and AfterFunc make it a core.Clock.
-func (c clock) Now() time.Duration {
-	return time.Duration(c.start.UnixNano()) + time.Since(c.start)
-}
-
-func (c clock) AfterFunc(d time.Duration, f func()) { time.AfterFunc(d, f) }
-
 // Change is a configuration that was read again, and where to tell what became of it: nil, or why all stays as it is.
 type Change struct {
 	Config
@@ -110,6 +102,13 @@
 	}
 	cfg.process = true
 	debug.SetGCPercent(400) // the live heap is small; collecting it often would be felt as latency
+	early, err := configured(ctx, &cfg, reload, log)
+	if errors.Is(err, errEnded) {
+		return nil
+	} else if err != nil {
+		return err
+	}
+	defer early.close()
 	ln, err := listen(ctx, cfg)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -120,6 +119,7 @@
 		return errors.Join(err, ln.Close())
 	}
 	defer stop()
+	cfg.followed.settle()
 	if err := n.join(ctx); err != nil {
 		return err
 	}
@@ -127,7 +127,7 @@
 		defer n.edge.Close()
 	}
 	if cfg.Mgmt != "" {
-		ln, err := (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp", cfg.Mgmt)
+		ln, err := early.listen(ctx, cfg.Mgmt)
 		if err != nil {
 			return fmt.Errorf("mgmt: %w", err)
 		}
@@ -195,7 +195,11 @@
 		return nil, nil, fmt.Errorf("contracts: %w", err)
 	}
 	if cfg.Product != nil && cfg.Product.Tunnels != nil {
-		if n.ways, err = cfg.Product.Tunnels.Ways(); err != nil {
+		n.ways, err = cfg.Product.Tunnels.Ways()
+		if err == nil && cfg.followed != nil {
+			n.routes, err = cfg.Product.Tunnels.Table()
+		}
+		if err != nil {
 			n.core.Close()
 			return nil, nil, err
 		}
@@ -226,8 +230,10 @@
 		}
 	}
 	// The list can start a watch at once, whose answer must not be taken in before the list is.
+	cfg.followed.lock()
 	n.core.Lock()
 	n.core.Bind(table)
+	cfg.followed.attach(n) // before what a predecessor had left of the contracts, which must find them
 	if old != nil {
 		n.predecessor(old)
 	} else {
@@ -248,6 +254,7 @@
 		n.checker.start()
 	}
 	n.core.Unlock()
+	cfg.followed.unlock()
 	return n, func() {
 		n.core.Close()
 		n.checker.stop()
--- a/internal/node/pair.go
+++ b/internal/node/pair.go
@@ -203,22 +203,25 @@
 	p.token = token
 	p.mu.Unlock()
 	p.do(func(m *handover.Machine, env handover.Env) { m.Ready(env) })
-	go func() {
-		tick := time.NewTicker(tickEach)
-		defer tick.Stop()
-		for {
-			select {
-			case <-tick.C:
-			case <-n.core.Context().Done():
-				return
-			}
-			p.do(func(m *handover.Machine, env handover.Env) {
-				if m.Unsettled() {
-					m.Tick(env)
-				}
-			})
+	go n.retry()
+}
+
+// retry tries again what did not work between processes, until the node ends.
+func (n *node) retry() {
+	tick := time.NewTicker(tickEach)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-n.core.Context().Done():
+			return
 		}
-	}()
+		n.pair.do(func(m *handover.Machine, env handover.Env) {
+			if m.Unsettled() {
+				m.Tick(env)
+			}
+		})
+	}
 }
 
 // Lock, Unlock and the like make it a handover.Env. They are called with p.mu held.
@@ -376,7 +379,7 @@
 }
 
 func (h heir) Claim(id string, until time.Duration) handover.Verdict {
-	ctx, cancel := context.WithTimeout(h.node.core.Context(), claimTime)
+	ctx, cancel := context.WithTimeout(h.node.core.Context(), claimTime+h.node.cfg.slack)
 	defer cancel()
 	return h.peer.Claim(ctx, id, until)
 }
@@ -437,7 +440,7 @@
 	default:
 		return fmt.Errorf("order %q is not known", o.Call)
 	}
-	ctx, cancel := context.WithTimeout(n.core.Context(), orderTime)
+	ctx, cancel := context.WithTimeout(n.core.Context(), orderTime+n.cfg.slack)
 	defer cancel()
 	return n.pair.tell(ctx, from, o)
 }
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"portstall/internal/resource/catalog"
 	"portstall/internal/wire"
 	"portstall/policy"
 )
@@ -108,6 +109,15 @@
 	if err := cfg.Settings.Policy.Validate(); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
+	f := n.cfg.followed
+	f.lock() // what control tells changes before all of this, or behind it
+	defer f.unlock()
+	var anew *catalog.Change
+	if f != nil {
+		if anew, err = f.recheck(cfg); err != nil {
+			return err
+		}
+	}
 	n.rekey(ring)
 	n.core.Lock()
 	defer n.core.Unlock()
@@ -115,10 +125,18 @@
 		return err
 	}
 	if n.cells != nil {
+		if f != nil {
+			terms.Tenants = n.cells.Tenants() // those are control's
+		}
 		n.cells.Change(terms)
 	}
 	n.retune(cfg.Settings)
-	n.core.Bind(table)
+	if f != nil {
+		n.apply(anew)
+		f.renewed(cfg, anew)
+	} else {
+		n.core.Bind(table)
+	}
 	n.log.Info("new settings are in force", "classes", len(cfg.Settings.Policy.Classes),
 		"max attempts", cfg.Settings.Policy.MaxAttempts)
 	if cfg.Discovery != n.disc.addr {
--- a/internal/node/tunnel.go
+++ b/internal/node/tunnel.go
@@ -23,9 +23,12 @@
 // connections: each request in it is read, decided, bounded and drained like any other. An opaque one is a request itself.
 // They take no more clients when ctx ends, or a successor serves.
 func (n *node) tunnels(ctx context.Context, t *config.Tunnels) error {
-	table, err := t.Table()
-	if err != nil {
-		return err
+	table := n.routes // control's
+	if table == nil {
+		var err error
+		if table, err = t.Table(); err != nil {
+			return err
+		}
 	}
 	f := tunnel.NewFront(tunnel.Options{Core: n.core, Table: table, Log: n.log, Away: n.life.sendsAway, Go: n.clients.Go,
 		Take: n.clients.Take, Leave: n.clients.Leave, HTTP: n.clients.Serve,
