--- a/cmd/portstall/config.go
+++ b/cmd/portstall/config.go
@@ -10,6 +10,7 @@
 	"regexp"
 
 	product "portstall/internal/config"
+	"portstall/internal/control"
 	"portstall/internal/lab/experiment"
 	"portstall/internal/lab/scenario"
 	"portstall/internal/node"
@@ -20,7 +21,7 @@
 }
 
 type configCheckCmd struct {
-	File string `arg:"" help:"A node's JSON configuration, the product's own file, or a scenario or experiment of the lab in YAML."`
+	File string `arg:"" help:"A node's JSON configuration, the product's own file, a scenario or experiment of the lab in YAML, or a folder as a control process reads it."`
 }
 
 func (c configCheckCmd) Run() error {
@@ -28,6 +29,9 @@
 	if ext := filepath.Ext(c.File); ext == ".yaml" || ext == ".yml" {
 		check = checkYAML
 	}
+	if info, err := os.Stat(c.File); err == nil && info.IsDir() {
+		check = checkFolder
+	}
 	if err := check(c.File); err != nil {
 		return usageError{err}
 	}
@@ -35,6 +39,12 @@
 	return nil
 }
 
+// checkFolder reads a folder as the control process would that writes.
+func checkFolder(path string) error {
+	_, err := control.CheckFiles(path)
+	return err
+}
+
 // checkNodeConfig reads a node's configuration as a node would at its start, without the variables that go before it.
 func checkNodeConfig(path string) error {
 	_, err := node.Load(func(name string) string {
--- a/cmd/portstall/lab.go
+++ b/cmd/portstall/lab.go
@@ -32,6 +32,9 @@
 	Load    labLoadCmd    `cmd:"" help:"Send a scenario's load to a node that runs."`
 	List    labListCmd    `cmd:"" help:"List the library's scenarios."`
 	Faults  labFaultsCmd  `cmd:"" help:"List the kinds of faults and the figures that each reads."`
+	Scale   labScaleCmd   `cmd:"" help:"Try the control side at full size: slopes beside budgets, and a fleet through faults."`
+
+	ScaleWorker labScaleWorkerCmd `cmd:"" hidden:"" help:"A process of lab scale."`
 }
 
 // errBroken is a rule or a bound that does not hold. What is broken was printed before.
--- a/cmd/portstall/main.go
+++ b/cmd/portstall/main.go
@@ -27,6 +27,7 @@
 	Log string `enum:"text,json" default:"text" help:"Form of the log on standard error: text or json."`
 
 	Node    nodeCmd    `cmd:"" help:"Run one load-balancing node, configured by GW_* variables and the file that GW_CONFIG names."`
+	Control controlCmd `cmd:"" help:"Run a control process, which tells nodes their configuration: the writer, or one that follows it."`
 	Demo    demoCmd    `cmd:"" help:"Play a short day on loopback, with real nodes and stand-ins, and show it as it happens."`
 	Lab     labCmd     `cmd:"" help:"Play scenarios: the fleet model in virtual time, or the rig on real sockets."`
 	Config  configCmd  `cmd:"" help:"Look at configuration files."`
--- a/cmd/portstall/main_test.go
+++ b/cmd/portstall/main_test.go
@@ -98,7 +98,7 @@
 	p.leave(t)
 }
 
-// discovery is one that tells a single backend to whoever asks for all, and lets watches wait.
+// discovery is one that tells a single backend to whoever does not have it, and lets watches of who has it wait.
 type discovery struct {
 	*httptest.Server
 	asked chan struct{}
@@ -106,16 +106,14 @@
 
 func newDiscovery(t *testing.T, backend string) *discovery {
 	d := &discovery{asked: make(chan struct{}, 100)}
-	told := make(chan struct{}, 1)
-	told <- struct{}{}
 	d.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		d.asked <- struct{}{}
-		select {
-		case <-told:
-			fmt.Fprintf(w, `{"version":2,"full":true,"servers":[{"id":"s-1","addr":%q,"zone":"n","kind":"k","cell":0,`+
-				`"state":"Ready","weight":1,"started_ms":0}]}`, backend)
-		case <-r.Context().Done():
+		if r.URL.Query().Get("since") == "2" {
+			<-r.Context().Done()
+			return
 		}
+		fmt.Fprintf(w, `{"version":2,"full":true,"servers":[{"id":"s-1","addr":%q,"zone":"n","kind":"k","cell":0,`+
+			`"state":"Ready","weight":1,"started_ms":0}]}`, backend)
 	}))
 	t.Cleanup(d.Close)
 	return d
@@ -174,17 +172,10 @@
 // run runs the program and returns once operators are told that it takes clients.
 func (p *program) run(t *testing.T, env ...string) {
 	t.Helper()
-	p.mgmt, p.exited = freeAddr(t), make(chan error, 1)
-	p.cmd.Stderr = &p.log
-	p.cmd.Env = append(os.Environ(), "GW_NAME=n0", "GW_CONFIG="+p.config, "GW_MGMT="+p.mgmt)
-	p.cmd.Env = append(p.cmd.Env, env...)
-	if err := p.cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { p.cmd.Process.Kill() })
-	go func() { p.exited <- p.cmd.Wait() }()
+	p.launch(t, env...)
+	operator := http.Client{Timeout: patience} // a node that can't answer is a failure with its log, not a test that hangs
 	ready := func() bool {
-		resp, err := http.Get("http://" + p.mgmt + "/-/ready")
+		resp, err := operator.Get("http://" + p.mgmt + "/-/ready")
 		if err != nil {
 			return false
 		}
--- /dev/null
+++ b/internal/lab/scale/churn.go
@@ -0,0 +1,90 @@
+package scale
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"portstall/internal/resource"
+)
+
+// change is one of the list and, where control is followed, one of the configuration, each with when it was made.
+type change struct {
+	list     int64
+	listAt   time.Time
+	config   resource.Version
+	configAt time.Time
+}
+
+// orders ask who has it.
+func (c *change) orders() []order {
+	all := []order{{Do: "reached", Version: c.list}}
+	if !c.config.IsZero() {
+		all = append(all, order{Do: "reached", Changed: c.config.String()})
+	}
+	return all
+}
+
+// change makes one.
+func (f *fleet) change(ctx context.Context) (c change, err error) {
+	if f.files != nil {
+		f.writing.Lock()
+		defer f.writing.Unlock()
+		c.configAt = time.Now()
+		if err := f.files.change(); err != nil {
+			return c, err
+		}
+		if c.config, err = f.controls[0].reload(); err != nil {
+			return c, err
+		}
+	}
+	c.listAt = time.Now()
+	c.list = f.roster.Set("Ready", true, 1)
+	return c, nil
+}
+
+// configure lets the configuration be changed as in life, so many times faster, until ctx ends.
+func (f *fleet) configure(ctx context.Context) error {
+	each := time.Duration(24 * time.Hour.Seconds() / (f.run.plan.Size.Changes * f.plan.Speed) * float64(time.Second))
+	rng := rand.New(rand.NewPCG(31, 8))
+	for pause(ctx, time.Duration(rng.ExpFloat64()*float64(each))) == nil {
+		f.writing.Lock()
+		err := f.files.change()
+		if err == nil {
+			_, err = f.controls[0].reload()
+		}
+		f.writing.Unlock()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+const stepRest = 500 * time.Millisecond // between a server's draining, its end and its new start
+
+// churn lets servers be replaced as in life, so many times faster, until ctx ends.
+func (f *fleet) churn(ctx context.Context) {
+	size := &f.run.plan.Size
+	day := 24 * time.Hour.Seconds()
+	each := time.Duration(day / ((size.Restarts + size.Failures) * f.plan.Speed) * float64(time.Second))
+	rng := rand.New(rand.NewPCG(31, 7))
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for pause(ctx, time.Duration(rng.ExpFloat64()*float64(each))) == nil {
+		which := rng.IntN(f.plan.Servers)
+		states := []string{"Terminating", "Gone", "Ready"}
+		if rng.Float64() < size.Failures/(size.Failures+size.Restarts) {
+			states = states[1:]
+		}
+		wg.Go(func() {
+			for _, s := range states {
+				f.roster.Set(s, s == "Ready", which)
+				if pause(ctx, stepRest) != nil {
+					return
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/lab/scale/control.go
@@ -0,0 +1,295 @@
+package scale
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	server "portstall/internal/control"
+	"portstall/internal/control/follow"
+	"portstall/internal/lab/standin"
+	"portstall/internal/resource"
+)
+
+// perFile is how many contracts stand in one of the writer's files: so many are read for a change of one.
+const perFile = 100
+
+// folder is the writer's files: services and routes in one, contracts in others. Safe for concurrent use.
+type folder struct {
+	path string
+	size *Size
+
+	mu        sync.Mutex
+	contracts int
+	rates     map[int]int // of those that were changed
+	turn      int
+}
+
+// tenantName is the i-th tenant's, and its contract's.
+func tenantName(i int) string { return fmt.Sprintf("tenant-%05d", i) }
+
+// folder writes files with so many contracts, and services and routes in proportion to the full size; others: one contract more is for
+// who has none.
+func (r *run) folder(contracts int, others bool) (*folder, error) {
+	path, err := os.MkdirTemp(r.dir, "files")
+	if err != nil {
+		return nil, err
+	}
+	f := &folder{path: path, size: &r.plan.Size, contracts: contracts, rates: map[int]int{}}
+	services := f.services()
+	var b strings.Builder
+	b.WriteString("services:\n")
+	for i := range services {
+		fmt.Fprintf(&b, "  - name: service-%03d\n    classes:\n      - {name: search-%03d, effect: safe}\n      - {name: search, effect: safe}\n", i, i)
+	}
+	if others {
+		b.WriteString("contracts:\n  - name: others\n")
+	}
+	if routes := contracts * f.size.Routes / f.size.Tenants; routes > 0 {
+		b.WriteString("tunnels:\n  routes:\n")
+		for i := range routes {
+			fmt.Fprintf(&b, "    - {host: r%04d.example.org, port: 443, service: service-%03d, kind: http}\n", i, i%services)
+		}
+	}
+	b.WriteString("...\n")
+	if err := f.write("base.yaml", b.String()); err != nil {
+		return nil, err
+	}
+	for from := 0; from < contracts; from += perFile {
+		if err := f.part(from / perFile); err != nil {
+			return nil, err
+		}
+	}
+	// The writer takes files that changed just before it read them for such as may change again unseen.
+	old := time.Now().Add(-time.Minute)
+	files, err := filepath.Glob(filepath.Join(path, "*.yaml"))
+	for _, name := range files {
+		err = errors.Join(err, os.Chtimes(name, old, old))
+	}
+	return f, err
+}
+
+func (f *folder) services() int {
+	return max(1, int(float64(f.contracts)/float64(f.size.Tenants)*float64(f.size.Services)+0.5))
+}
+
+// write puts a file in its place, whole.
+func (f *folder) write(name, text string) error {
+	next := filepath.Join(f.path, ".next")
+	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, filepath.Join(f.path, name))
+}
+
+// part writes the k-th file of contracts. f.mu is held, or nobody else knows the folder.
+func (f *folder) part(k int) error {
+	var b strings.Builder
+	b.WriteString("contracts:\n")
+	services := f.services()
+	for i := k * perFile; i < min(f.contracts, (k+1)*perFile); i++ {
+		fmt.Fprintf(&b, "  - name: %[1]s\n    match: [{tenant: %[1]s}]\n    services: [service-%03[2]d]\n    rate: %[3]d\n    burst: 10\n    in_flight: 20\n"+
+			"    attempts: {ratio: 0.2, window: 10s, floor: 1}\n", tenantName(i), i%services, 5+f.rates[i])
+	}
+	b.WriteString("...\n")
+	return f.write(fmt.Sprintf("contracts-%04d.yaml", k), b.String())
+}
+
+// change changes one contract, another one each time.
+func (f *folder) change() error {
+	f.mu.Lock()
+	i := f.turn * 37 % f.contracts
+	f.turn++
+	f.mu.Unlock()
+	return f.changeOf(i)
+}
+
+// changeOf changes the i-th contract.
+func (f *folder) changeOf(i int) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rates[i]++
+	return f.part(i / perFile)
+}
+
+// controller is a control process of the run.
+type controller struct {
+	*child
+	addr string
+	args []string
+}
+
+// controls starts control processes: the first is the writer of the files, the others follow it, and look at one another as docs/configuration.md
+// has it. Via tells the address by which one reaches another (nil: its own). More are flags of all.
+func (r *run) controls(ctx context.Context, count int, files *folder, via func(from int, to *controller) (string, error), more ...string) ([]*controller, error) {
+	var all []*controller
+	for range count {
+		addr, err := standin.FreeAddr()
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, &controller{addr: addr})
+	}
+	for i, c := range all {
+		c.args = append([]string{"control", "--listen", c.addr, "--name", fmt.Sprintf("control-%d", i)}, more...)
+		others := "--from"
+		if i == 0 {
+			c.args, others = append(c.args, "--files", files.path), "--peers"
+		}
+		for _, o := range all {
+			if o == c {
+				continue
+			}
+			addr := o.addr
+			if via != nil {
+				var err error
+				if addr, err = via(i, o); err != nil {
+					return all, err
+				}
+			}
+			c.args = append(c.args, others, addr)
+		}
+		if err := r.begin(ctx, c); err != nil {
+			return all, err
+		}
+	}
+	return all, nil
+}
+
+// begin starts a control process, anew where it was ended, and waits until it has a configuration.
+func (r *run) begin(ctx context.Context, c *controller) (err error) {
+	if c.child, err = r.herd.start(c.args[4], nil, c.args...); err != nil {
+		return err
+	}
+	for end := time.Now().Add(beginMost); time.Now().Before(end); {
+		if resp, err := operator.Get("http://" + c.addr + "/-/ready"); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-c.done:
+			return fmt.Errorf("%s: %w: %s", c.role, errBegun, c.logs.String())
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-time.After(2 * time.Millisecond):
+		}
+	}
+	return fmt.Errorf("%s: %w within %v: %s", c.role, errBegun, beginMost, c.logs.String())
+}
+
+// operator calls control processes as operators do.
+var operator = &http.Client{Timeout: 30 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+// reload lets a writer read its files, and tells the version that this made.
+func (c *controller) reload() (resource.Version, error) {
+	resp, err := operator.Post("http://"+c.addr+"/v1/reload", "", nil)
+	if err != nil {
+		return resource.Version{}, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return resource.Version{}, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return resource.Version{}, fmt.Errorf("%s: reload: %d: %s", c.role, resp.StatusCode, bytes.TrimSpace(text))
+	}
+	var r server.Reloaded
+	if err := json.Unmarshal(text, &r); err != nil {
+		return resource.Version{}, fmt.Errorf("%s: reload: %w", c.role, err)
+	}
+	if !r.Changed {
+		return resource.Version{}, fmt.Errorf("%s: reload: nothing was changed by a change", c.role)
+	}
+	return r.Version, nil
+}
+
+// status is how a control process stands.
+type status struct {
+	Version  resource.Version `json:"version"`
+	Versions []struct {
+		Version resource.Version `json:"version"`
+		Callers int              `json:"callers"`
+	} `json:"callers_by_version"`
+	Refused   int             `json:"refusing"`
+	Snapshots int             `json:"snapshots_told"`
+	Follows   *follow.Figures `json:"follows"` // of a follower
+}
+
+func (c *controller) status() (s status, err error) {
+	resp, err := operator.Get("http://" + c.addr + "/v1/status")
+	if err != nil {
+		return s, err
+	}
+	defer resp.Body.Close()
+	return s, json.NewDecoder(resp.Body).Decode(&s)
+}
+
+// acked waits until so many callers have a version in force, and none refuses one.
+func (c *controller) acked(ctx context.Context, v resource.Version, callers int) error {
+	var last status
+	err := until(ctx, heardMost, fmt.Sprintf("version %s at %d callers", v, callers), func() bool {
+		s, err := c.status()
+		last = s
+		n := 0
+		for _, at := range s.Versions {
+			if at.Version.Compare(v) >= 0 {
+				n += at.Callers
+			}
+		}
+		if err == nil && n < callers {
+			time.Sleep(20 * time.Millisecond) // asking costs the process that is measured
+		}
+		return err == nil && n >= callers
+	})
+	if err != nil {
+		return fmt.Errorf("%w: %+v", err, last)
+	}
+	if last.Refused > 0 {
+		return fmt.Errorf("version %s: %d callers refuse one", v, last.Refused)
+	}
+	return nil
+}
+
+// product writes a node's product file that names control processes. Connect is where it takes tunnels, which have the routes.
+func (r *run) product(connect string, addrs ...string) (string, error) {
+	text := "control:\n  addresses:\n"
+	for _, a := range addrs {
+		text += fmt.Sprintf("    - %q\n", a)
+	}
+	if connect != "" {
+		text += fmt.Sprintf("tunnels:\n  connect: %q\n", connect)
+	}
+	return r.file(".yaml", []byte(text+"...\n"))
+}
+
+// changeRest is between two changes of the configuration: longer than a node takes over one, so that none is told with the next.
+const changeRest = 150 * time.Millisecond
+
+// changes makes changes of the configuration one after the other, and tells how long that took and the last version.
+func changes(ctx context.Context, count int, f *folder, writer *controller) (took time.Duration, last resource.Version, err error) {
+	begun := time.Now()
+	for range count {
+		if err = f.change(); err != nil {
+			return 0, last, err
+		}
+		if last, err = writer.reload(); err != nil {
+			return 0, last, err
+		}
+		if err = pause(ctx, changeRest); err != nil {
+			return 0, last, err
+		}
+	}
+	return time.Since(begun), last, nil
+}
--- /dev/null
+++ b/internal/lab/scale/herd.go
@@ -0,0 +1,292 @@
+package scale
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// ErrBound says that a run would pass a bound of its own on memory, processes or time.
+var ErrBound = errors.New("the run passes its bound")
+
+// child is a process of the run.
+type child struct {
+	role string
+	cmd  *exec.Cmd
+	done chan struct{} // closed when it has ended
+
+	mu  sync.Mutex // one call at a time
+	in  io.WriteCloser
+	out *bufio.Reader
+
+	logs tail
+}
+
+// tail keeps the end of what a process logs. Safe for concurrent use.
+type tail struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (t *tail) Write(p []byte) (int, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.buf.Len() > 64<<10 {
+		t.buf.Reset()
+	}
+	return t.buf.Write(p)
+}
+
+func (t *tail) String() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.buf.String()
+}
+
+// herd is the processes of a run. It holds them to the bounds, ends each by its id, and leaves none behind: they end with the run,
+// also where that is killed. Safe for concurrent use.
+type herd struct {
+	binary string
+	dir    string
+	memory int64
+	most   int
+	cancel context.CancelCauseFunc // of the run, where a bound is passed
+	starts chan func()             // to the one thread that starts processes: they are killed when it ends
+
+	mu       sync.Mutex
+	children map[*child]struct{}
+	count    int // those, and those that are being started
+	peak     int64
+	peakProc int
+	closed   bool
+	over     chan struct{}
+	wg       sync.WaitGroup
+}
+
+const lookEach = 200 * time.Millisecond
+
+func newHerd(binary, dir string, memory int64, processes int, cancel context.CancelCauseFunc) *herd {
+	h := &herd{binary: binary, dir: dir, memory: memory, most: processes, cancel: cancel, starts: make(chan func()),
+		children: map[*child]struct{}{}, over: make(chan struct{})}
+	h.wg.Add(2)
+	go func() {
+		defer h.wg.Done()
+		runtime.LockOSThread() // and never unlocked: the thread ends with the run
+		for {
+			select {
+			case f := <-h.starts:
+				f()
+			case <-h.over:
+				return
+			}
+		}
+	}()
+	go func() {
+		defer h.wg.Done()
+		tick := time.NewTicker(lookEach)
+		defer tick.Stop()
+		for {
+			select {
+			case <-tick.C:
+				if err := h.look(); err != nil {
+					h.cancel(err)
+				}
+			case <-h.over:
+				return
+			}
+		}
+	}()
+	return h
+}
+
+// look holds what is resident against the bound.
+func (h *herd) look() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	sum := resident(os.Getpid())
+	for c := range h.children {
+		sum += resident(c.cmd.Process.Pid)
+	}
+	h.peak = max(h.peak, sum)
+	if sum > h.memory {
+		return fmt.Errorf("%w: %s resident in %d processes, %s allowed", ErrBound, Amount(float64(sum), "B"), len(h.children)+1,
+			Amount(float64(h.memory), "B"))
+	}
+	return nil
+}
+
+// start starts a process of the run's own binary. Its log is kept; what it prints is read by call.
+func (h *herd) start(role string, env []string, args ...string) (*child, error) {
+	return h.startOf(h.binary, role, env, args...)
+}
+
+// startOf is start with another binary.
+func (h *herd) startOf(binary, role string, env []string, args ...string) (*child, error) {
+	c := &child{role: role, done: make(chan struct{}), cmd: exec.Command(binary, args...)}
+	c.cmd.Env = append(append(os.Environ(), "TMPDIR="+h.dir), env...)
+	c.cmd.Stderr = &c.logs
+	c.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	in, err := c.cmd.StdinPipe()
+	if err != nil {
+		return nil, err
+	}
+	out, err := c.cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	c.in, c.out = in, bufio.NewReaderSize(out, 1<<16)
+	h.mu.Lock()
+	if h.closed {
+		h.mu.Unlock()
+		return nil, context.Canceled
+	}
+	if n := h.count + 2; n > h.most { // with this one and the run's own
+		h.mu.Unlock()
+		err := fmt.Errorf("%w: %s would be process %d, %d allowed", ErrBound, role, n, h.most)
+		h.cancel(err)
+		return nil, err
+	}
+	h.count++
+	h.peakProc = max(h.peakProc, h.count+1)
+	h.mu.Unlock()
+	started := make(chan error, 1)
+	h.starts <- func() {
+		err := c.cmd.Start()
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if err != nil {
+			h.count--
+		} else {
+			h.children[c] = struct{}{}
+		}
+		started <- err
+	}
+	if err := <-started; err != nil {
+		return nil, fmt.Errorf("%s: %w", role, err)
+	}
+	go func() {
+		c.cmd.Wait()
+		h.mu.Lock()
+		h.count--
+		delete(h.children, c)
+		h.mu.Unlock()
+		close(c.done)
+	}()
+	return c, nil
+}
+
+// end ends a process and waits for that.
+func (h *herd) end(c *child) {
+	if c == nil {
+		return
+	}
+	c.in.Close()
+	c.cmd.Process.Kill() // one that has ended is not there any more
+	<-c.done
+}
+
+// close ends all. Nothing may be starting meanwhile.
+func (h *herd) close() {
+	h.mu.Lock()
+	h.closed = true
+	all := slices.Collect(maps.Keys(h.children))
+	h.mu.Unlock()
+	for _, c := range all {
+		h.end(c)
+	}
+	close(h.over)
+	h.wg.Wait()
+}
+
+// call gives a worker an order and waits for what it answers.
+func (c *child) call(ctx context.Context, o order) (reply, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := json.NewEncoder(c.in).Encode(o); err != nil {
+		return reply{}, fmt.Errorf("%s: %s: %w: %s", c.role, o.Do, err, c.logs.String())
+	}
+	type got struct {
+		line []byte
+		err  error
+	}
+	answer := make(chan got, 1)
+	go func() {
+		line, err := c.out.ReadBytes('\n')
+		answer <- got{line, err}
+	}()
+	var g got
+	select {
+	case g = <-answer:
+	case <-ctx.Done():
+		c.cmd.Process.Kill() // its answer would come to the next call
+		<-answer
+		return reply{}, context.Cause(ctx)
+	}
+	if g.err != nil {
+		return reply{}, fmt.Errorf("%s: %s: %w: %s", c.role, o.Do, g.err, c.logs.String())
+	}
+	var r reply
+	if err := json.Unmarshal(g.line, &r); err != nil {
+		return reply{}, fmt.Errorf("%s: %s: %w", c.role, o.Do, err)
+	}
+	if r.Err != "" {
+		return r, fmt.Errorf("%s: %s: %s", c.role, o.Do, r.Err)
+	}
+	return r, nil
+}
+
+// resident is a process's resident set in bytes; 0: it is not there.
+func resident(pid int) int64 { return fieldOf(pid, "VmRSS:") }
+
+// peak is the most that a process had resident.
+func peak(pid int) int64 { return fieldOf(pid, "VmHWM:") }
+
+func fieldOf(pid int, field string) int64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, field); ok {
+			kb, _ := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
+			return kb << 10
+		}
+	}
+	return 0
+}
+
+// worked is the processor time that a process has had so far: of all its threads that are there.
+func worked(pid int) (sum time.Duration) {
+	tasks, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
+	for _, t := range tasks {
+		text, err := os.ReadFile(t)
+		if f := strings.Fields(string(text)); err == nil && len(f) > 0 {
+			ns, _ := strconv.ParseInt(f[0], 10, 64)
+			sum += time.Duration(ns)
+		}
+	}
+	return sum
+}
+
+// maxResident is the most that a process which has ended had resident, in bytes.
+func maxResident(s *os.ProcessState) int64 {
+	if u, ok := s.SysUsage().(*syscall.Rusage); ok {
+		return u.Maxrss << 10
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/lab/scale/inside_test.go
@@ -0,0 +1,53 @@
+package scale
+
+import (
+	"errors"
+	"testing"
+	"time"
+)
+
+// What docs/CAPACITY.md says of contracts that are split over nodes. A node that hands out less than one request of a burst lets one
+// in all the same, and a node that sees a tenant seldom has refilled less than one: both are to be mended, and this with them.
+func TestSplitContract(t *testing.T) {
+	for _, c := range []struct {
+		nodes                  int
+		refusedFrom, refusedTo float64
+		firstFrom, firstTo     float64
+	}{{1, 0, 0, 0.95, 1}, {10, 0.25, 0.35, 0.6, 1.01}, {100, 0.25, 0.35, 1.6, 1.7}, {450, 0.25, 0.35, 7.4, 7.6}} {
+		p := SplitContract(c.nodes, "a tenant", 2.1, 500, time.Hour)
+		if p.Refused < c.refusedFrom || p.Refused > c.refusedTo || p.First < c.firstFrom || p.First > c.firstTo {
+			t.Errorf("%+v, want %+v", p, c)
+		}
+		if again := SplitContract(c.nodes, "a tenant", 2.1, 500, time.Hour); again != p {
+			t.Errorf("not the same twice: %+v, %+v", p, again)
+		}
+	}
+}
+
+func TestPlayMembers(t *testing.T) {
+	a, err := PlayMembers(t.Context(), 12, 5, 30*time.Second, time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if b, _ := PlayMembers(t.Context(), 12, 5, 30*time.Second, time.Minute); a != b {
+		t.Errorf("not the same twice: %+v, %+v", a, b)
+	}
+	if a.Known != 1 || a.Bytes <= 0 || a.Bytes > 16<<10 || a.Packets < 1 || a.Signs < 1 {
+		t.Errorf("%+v", a)
+	}
+	if _, err := PlayMembers(t.Context(), 12, 5, time.Hour, 0); !errors.Is(err, errSlow) {
+		t.Errorf("no time: %v", err)
+	}
+}
+
+func TestQuantile(t *testing.T) {
+	list := []float64{5, 1, 4, 2, 3}
+	for q, want := range map[float64]float64{0: 1, 0.2: 1, 0.5: 3, 0.99: 5, 1: 5} {
+		if got := quantile(list, q); got != want {
+			t.Errorf("%v: %v, want %v", q, got, want)
+		}
+	}
+	if quantile(nil, 0.5) != 0 {
+		t.Error("of nothing")
+	}
+}
--- /dev/null
+++ b/internal/lab/scale/measure.go
@@ -0,0 +1,315 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// inside measures what needs no sockets: contracts, the policy's plan, product files, members' talk and split contracts.
+func (r *run) inside(ctx context.Context) error {
+	p := r.plan
+	for _, part := range []func(ctx context.Context) error{r.contracts, r.plans, r.productFiles} { // by the clock: one after the other
+		if err := part(ctx); err != nil {
+			return err
+		}
+	}
+	if p.Parts != nil {
+		r.split()
+	}
+	return r.talk(ctx)
+}
+
+// each asks a worker of its own for each size, and gives back its figures.
+func (r *run) each(ctx context.Context, do string, sizes []int) ([]map[string]float64, error) {
+	var all []map[string]float64
+	for _, n := range sizes {
+		w, err := r.worker(fmt.Sprintf("%s-%d", do, n))
+		if err != nil {
+			return nil, err
+		}
+		got, err := w.call(ctx, order{Do: do, Count: n})
+		r.herd.end(w)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, got.Figures)
+	}
+	return all, nil
+}
+
+func points(sizes []int, all []map[string]float64, figure string) (list []Point) {
+	for i, n := range sizes {
+		list = append(list, Point{float64(n), all[i][figure]})
+	}
+	return list
+}
+
+func (r *run) contracts(ctx context.Context) error {
+	sizes := r.plan.Contracts
+	if sizes == nil {
+		return nil
+	}
+	all, err := r.each(ctx, "contracts", sizes)
+	if err != nil {
+		return err
+	}
+	full := float64(r.plan.Size.Tenants)
+	one := func(id, figure, unit, note string) error {
+		_, name, _ := strings.Cut(id, ".")
+		return r.line(Row{ID: id, Role: "node", Figure: figure, Unit: unit, Of: "contract", Note: note}, points(sizes, all, name), full)
+	}
+	return errors.Join(one("contracts.unused", "heap of contracts that nobody used", "B", "table and ledger"),
+		one("contracts.used", "heap of contracts that all were used", "B", "table and ledger"),
+		one("contracts.made", "time to make the table anew", "s", "at each SIGHUP"),
+		one("contracts.request", "time to look up, admit and settle a request", "s", ""))
+}
+
+// plansEach is how often a node makes the policy's plan.
+const plansEach = 4.0
+
+func (r *run) plans(ctx context.Context) error {
+	sizes := r.plan.Plans
+	if sizes == nil {
+		return nil
+	}
+	all, err := r.each(ctx, "plan", sizes)
+	if err != nil {
+		return err
+	}
+	list := points(sizes, all, "plan")
+	for i := range list {
+		list[i].Y *= plansEach
+	}
+	return r.line(Row{ID: "plan.rest", Role: "node", Figure: "the policy's plans, four a second", Unit: "s", Of: "server", Note: "processor time a second; a part of that at rest"},
+		list, float64(r.plan.Size.Servers))
+}
+
+// productFile is a product's file with so many contracts, and routes and services in proportion to the full size.
+func productFile(size *Size, contracts int) []byte {
+	var b strings.Builder
+	part := float64(contracts) / float64(size.Tenants)
+	services, routes := max(1, int(part*float64(size.Services)+0.5)), int(part*float64(size.Routes)+0.5)
+	b.WriteString("services:\n")
+	for i := range services {
+		fmt.Fprintf(&b, "  - name: service-%03d\n    classes:\n      - {name: search-%03d, effect: safe}\n      - {name: search, effect: safe}\n", i, i)
+	}
+	b.WriteString("contracts:\n")
+	for i := range contracts {
+		fmt.Fprintf(&b, "  - name: tenant-%05d\n    match: [{tenant: tenant-%05d}]\n    services: [service-%03d]\n    rate: 5\n    burst: 10\n    in_flight: 20\n"+
+			"    attempts: {ratio: 0.2, window: 10s, floor: 1}\n", i, i, i%services)
+	}
+	if routes > 0 {
+		b.WriteString("tunnels:\n  connect: 127.0.0.1:1\n  routes:\n")
+		for i := range routes {
+			fmt.Fprintf(&b, "    - {host: r%04d.example.org, port: 443, service: service-%03d, kind: http}\n", i, i%services)
+		}
+	}
+	b.WriteString("...\n")
+	return []byte(b.String())
+}
+
+func (r *run) productFiles(ctx context.Context) error {
+	sizes := r.plan.Files
+	if sizes == nil {
+		return nil
+	}
+	var cpu, rss, size []Point
+	for _, n := range sizes {
+		text := productFile(&r.plan.Size, n)
+		path, err := r.file(".yaml", text)
+		if err != nil {
+			return err
+		}
+		c, err := r.herd.start(fmt.Sprintf("file-%d", n), nil, "config", "check", path)
+		if err != nil {
+			return err
+		}
+		select {
+		case <-c.done:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+		if code := c.cmd.ProcessState.ExitCode(); code != 0 {
+			return fmt.Errorf("config check of %d contracts ended with code %d: %s", n, code, c.logs.String())
+		}
+		x, s := float64(n), c.cmd.ProcessState
+		cpu = append(cpu, Point{x, (s.UserTime() + s.SystemTime()).Seconds()})
+		rss = append(rss, Point{x, float64(maxResident(s))})
+		size = append(size, Point{x, float64(len(text))})
+	}
+	full := float64(r.plan.Size.Tenants)
+	note := "`portstall config check` of the whole product file: what each SIGHUP costs a node"
+	return errors.Join(r.line(Row{ID: "file.cpu", Role: "node by file", Figure: "processor time to read it", Unit: "s", Of: "contract", Note: note}, cpu, full),
+		r.line(Row{ID: "file.rss", Role: "node by file", Figure: "resident at the most", Unit: "B", Of: "contract", Note: note}, rss, full),
+		r.line(Row{ID: "file.bytes", Role: "node by file", Figure: "bytes of the file", Unit: "B", Of: "contract", Note: note}, size, full))
+}
+
+// split plays contracts that are dealt out to nodes.
+func (r *run) split() {
+	full := float64(r.plan.Size.Nodes)
+	var refused, first []Point
+	for _, n := range r.plan.Parts {
+		p := SplitContract(n, "a tenant", 2.1, 500, time.Hour)
+		refused, first = append(refused, Point{float64(n), p.Refused}), append(first, Point{float64(n), p.First})
+	}
+	last := func(list []Point) float64 { return list[len(list)-1].Y }
+	r.add(Row{ID: "parts.refused", Role: "node", Figure: "lawful requests refused: 2.1 a second of a contract of 5", Unit: "", Origin: Ran, Of: "node", Points: refused,
+		Size: full, At: last(refused), Note: "real ledgers in virtual time; a burst of 10"},
+		Row{ID: "parts.first", Role: "node", Figure: "let in of 500 a second in 10 s, against what is allowed", Unit: "", Origin: Ran, Of: "node", Points: first,
+			Size: full, At: last(first), Note: "the same contract: 60 are allowed"})
+}
+
+// talk plays members.
+func (r *run) talk(ctx context.Context) error {
+	p := r.plan.Members
+	if p == nil {
+		return nil
+	}
+	all := make([]reply, len(p.Sizes))
+	g, ctx := errgroup.WithContext(ctx)
+	for i, n := range p.Sizes {
+		g.Go(func() error {
+			w, err := r.worker(fmt.Sprintf("members-%d", n))
+			if err != nil {
+				return err
+			}
+			defer r.herd.end(w)
+			all[i], err = w.call(ctx, order{Do: "members", Count: n, ForMS: int(p.For.Milliseconds()), LimitMS: int(p.Limit.Milliseconds())})
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	var bytes, cpu, signed, join, known []Point
+	note := "virtual time, no loss, signatures of 64 bytes"
+	for i, t := range all {
+		if t.Late != "" {
+			note += "; " + t.Late
+			continue
+		}
+		x, f := float64(p.Sizes[i]), t.Figures
+		known = append(known, Point{x, f["known"]})
+		bytes, join, cpu = append(bytes, Point{x, f["bytes"]}), append(join, Point{x, f["join"]}), append(cpu, Point{x, f["cpu"]})
+		signed = append(signed, Point{x, f["signs"]*f["sign"] + f["checks"]*f["check"]})
+	}
+	if len(known) == 0 {
+		return fmt.Errorf("members: %s", note)
+	}
+	full := float64(r.plan.Size.Nodes)
+	one := func(id, figure, unit string, list []Point) error {
+		return r.line(Row{ID: id, Role: "members", Figure: figure, Unit: unit, Of: "member", Note: note}, list, full)
+	}
+	last := known[len(known)-1]
+	r.add(Row{ID: "member.known", Role: "members", Figure: fmt.Sprintf("part that the worst informed holds for alive after %v", 2*p.For), Unit: "", Origin: Ran, Of: "member",
+		Points: known, Size: last.X, At: last.Y, Note: note + "; all start within a second"})
+	return errors.Join(one("member.bytes", "bytes a second that a member sends", "B", bytes), one("member.join", "the same while all join at once", "B", join),
+		one("member.cpu", "processor time a second, without signatures", "s", cpu),
+		one("member.signed", "processor time a second for signatures, by their number", "s", signed))
+}
+
+// quantile of a list; 0 where it is empty.
+func quantile(list []float64, q float64) float64 {
+	if len(list) == 0 {
+		return 0
+	}
+	list = slices.Sorted(slices.Values(list))
+	return list[min(len(list)-1, max(0, int(math.Ceil(q*float64(len(list))))-1))]
+}
+
+// pool measures one node before more and more servers.
+func (r *run) pool(ctx context.Context) error {
+	p := r.plan.Pool
+	type result struct{ fresh, known, p50, p99, cpu Point }
+	results := make([]result, len(p.Servers))
+	g, ctx := errgroup.WithContext(ctx)
+	for i, n := range p.Servers {
+		g.Go(func() error {
+			w, err := r.worker(fmt.Sprintf("web-%d", n))
+			if err != nil {
+				return err
+			}
+			defer r.herd.end(w)
+			got, err := w.call(ctx, order{Do: "web", Count: n, ServerUS: int(p.Service.Microseconds()), IdleMS: int(p.Idle.Milliseconds())})
+			if err != nil {
+				return err
+			}
+			roster := NewRoster(n, r.plan.Size.Zones, got.Addrs)
+			addr, err := roster.Start()
+			if err != nil {
+				return err
+			}
+			defer roster.Stop()
+			node, err := r.node(ctx, nodeSetup{name: fmt.Sprintf("pool-%d", n), discovery: addr, zone: zoneName(0), known: roster.Whole(), idle: p.Idle})
+			if err != nil {
+				return err
+			}
+			defer r.herd.end(node.child)
+			var count atomic.Bool
+			var t took
+			asking, stop := context.WithCancel(ctx)
+			defer stop()
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				t.clients(asking, node.addr, node.role, p.Rate, &count)
+			}()
+			if err := pause(ctx, p.Warmup); err != nil {
+				return err
+			}
+			before, err := w.call(ctx, order{Do: "counts"})
+			if err != nil {
+				return err
+			}
+			id := node.cmd.Process.Pid
+			cpu, begun := worked(id), time.Now()
+			count.Store(true)
+			if err := pause(ctx, p.For); err != nil {
+				return err
+			}
+			after, err := w.call(ctx, order{Do: "counts"})
+			if err != nil {
+				return err
+			}
+			spent := (worked(id) - cpu).Seconds() / time.Since(begun).Seconds()
+			stop()
+			<-done
+			if t.served == 0 {
+				return fmt.Errorf("%d servers: none of %d requests was served", n, t.asked)
+			}
+			x := float64(n)
+			asked := after.Figures["requests"] - before.Figures["requests"]
+			results[i] = result{Point{x, (after.Figures["conns"] - before.Figures["conns"]) / asked},
+				Point{x, (after.Figures[freshFor[0].String()] - before.Figures[freshFor[0].String()]) / asked}, Point{x, quantile(t.added, 0.5)},
+				Point{x, quantile(t.added, 0.99)}, Point{x, spent}}
+			return nil
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	// These are no lines: what is told is the last point, at the most servers.
+	one := func(id, role, figure, unit, note string, of func(*result) Point) {
+		var list []Point
+		for i := range results {
+			list = append(list, of(&results[i]))
+		}
+		last := list[len(list)-1]
+		r.add(Row{ID: id, Role: role, Figure: figure, Unit: unit, Origin: Ran, Of: "server", Points: list, Size: last.X, At: last.Y, Note: note})
+	}
+	note := fmt.Sprintf("one node, %v requests a second, servers take %v and let connections rest %v; loopback, no handshake but TCP's", p.Rate, p.Service, p.Idle)
+	one("pool.fresh", "web server", "new connections a request", "", note, func(s *result) Point { return s.fresh })
+	one("pool.known", "node", fmt.Sprintf("requests to a server whose report is %v old at most", freshFor[0]), "", note, func(s *result) Point { return s.known })
+	one("pool.p50", "node", "added to a request, median", "s", note, func(s *result) Point { return s.p50 })
+	one("pool.p99", "node", "added to a request, p99", "s", note, func(s *result) Point { return s.p99 })
+	one("pool.cpu", "node", "processor time a second, with requests", "s", note, func(s *result) Point { return s.cpu })
+	return nil
+}
--- /dev/null
+++ b/internal/lab/scale/plan_test.go
@@ -0,0 +1,92 @@
+package scale
+
+import (
+	"strings"
+	"testing"
+
+	deployscale "portstall/deploy/lab/scale"
+)
+
+func TestLibrary(t *testing.T) {
+	names := deployscale.Names()
+	if len(names) < 6 {
+		t.Errorf("%v", names)
+	}
+	for _, want := range append([]string{"full", "quick", "small"}, names...) {
+		text, known := deployscale.Read(want)
+		if !known {
+			t.Errorf("%s is not in %v", want, names)
+			continue
+		}
+		p, err := Parse(want, text)
+		if err != nil {
+			t.Error(err)
+			continue
+		}
+		must := 0
+		for _, b := range p.Budgets {
+			if b.Must {
+				must++
+			}
+		}
+		if p.Name != want || must == 0 {
+			t.Errorf("%s: named %q, %d budgets must hold", want, p.Name, must)
+		}
+	}
+	if _, known := deployscale.Read("nowhere"); known {
+		t.Error("nowhere is known")
+	}
+}
+
+const head = "name: p\nbound: 1s\nmemory_mb: 100\nprocesses: 2\nsize: {nodes: 1, servers: 1, tenants: 1, zones: 1, regions: 1}\n"
+
+// cuts is a plan of three control processes in so many regions, with a fault.
+func cuts(regions, fault string) string {
+	return strings.Replace(head, "regions: 1", regions, 1) +
+		"fleet: {servers: 1, hollow: 1, processes: 1, speed: 1, limit: 1s, controls: 3, contracts: 1, faults: [{" + fault + "}]}\n"
+}
+
+// A mistake is told by file, line and field.
+func TestMistakes(t *testing.T) {
+	if _, err := Parse("p.yaml", []byte(head)); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ text, want string }{
+		{strings.Replace(head, "name: p\n", "", 1), "p.yaml: name"},
+		{strings.Replace(head, "1s", "2h", 1), "p.yaml:2: bound: 2h0m0s is outside"},
+		{strings.Replace(head, "memory_mb: 100", "memory_mb: 13000", 1), "p.yaml:3: memory_mb: 13000 is outside"},
+		{strings.Replace(head, "processes: 2", "processes: 201", 1), "p.yaml:4: processes: 201 is outside"},
+		{strings.Replace(head, "nodes: 1", "nodes: 0", 1), "p.yaml:5: size: "},
+		{head + "plans: [1, 2, 2]\n", "p.yaml:6: plans: [1 2 2]: a slope wants"},
+		{head + "parts: [0, 1, 2]\n", "p.yaml:6: parts[0]: 0 is outside"},
+		{head + "list: {servers: [1, 2, 3], deltas: 1, wholes: 1}\n", "p.yaml:6: list: at_rest"},
+		{head + "fleet: {servers: 1, hollow: 1, processes: 1, speed: 1, limit: 1s, faults: [{kind: flood}]}\n", `fleet.faults[0].kind: "flood" is no fault`},
+		{head + "fleet: {servers: 1, hollow: 1, processes: 1, speed: 1, limit: 1s, faults: [{kind: nodes_restart}]}\n", "fleet.faults[0]: "},
+		{head + "fleet: {servers: 1, hollow: 1, processes: 1, speed: 0, limit: 1s}\n", "fleet.speed"},
+		{head + "fleet: {servers: 1, processes: 1, speed: 1, limit: 1s}\n", "fleet.real"},
+		{cuts("regions: 3", "kind: regions_cut"), ""},
+		{cuts("regions: 2", "kind: region_alone"), ""},
+		{cuts("regions: 2", "kind: regions_cut"), `fleet.faults[0].kind: regions_cut wants a control process in each region`},
+		{cuts("regions: 4", "kind: region_alone"), `fleet.faults[0].kind: region_alone wants a control process in each region`},
+		{cuts("regions: 1", "kind: region_alone"), `fleet.faults[0].kind: region_alone wants`},
+		{cuts("regions: 3", "kind: region_alone, rate: 101"), "fleet.faults[0].rate: 101 is outside"},
+		{cuts("regions: 3", "kind: region_alone, rate: -1"), "fleet.faults[0].rate: -1 is outside"},
+		{strings.Replace(cuts("regions: 3", "kind: none"), "speed", "keep: 1ms, speed", 1), "fleet.keep: 1ms is outside"},
+		{strings.Replace(cuts("regions: 3", "kind: none"), "speed", "garbage: -1, speed", 1), "fleet.garbage: -1 is outside"},
+		{head + "servers: 3\n", "p.yaml:6: unknown field"},
+	} {
+		if _, err := Parse("p.yaml", []byte(c.text)); c.want == "" && err != nil || c.want != "" && err == nil || err != nil && !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%q: %v, want %q", c.text, err, c.want)
+		}
+	}
+}
+
+// How much garbage hollow nodes' processes may have is told to Go's collector there, or not at all.
+func TestCollector(t *testing.T) {
+	if env := (&Fleet{Garbage: 10}).collector(); len(env) != 1 || env[0] != "GOGC=10" {
+		t.Errorf("%q", env)
+	}
+	if env := (&Fleet{}).collector(); env != nil {
+		t.Errorf("%q", env)
+	}
+}
--- /dev/null
+++ b/internal/lab/scale/process.go
@@ -0,0 +1,93 @@
+package scale
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"portstall/internal/lab/standin"
+)
+
+// config writes a node's configuration.
+func (r *run) config(name, listen, discovery, zone string, known []byte, idle time.Duration) (string, error) {
+	text, err := json.Marshal(map[string]any{"name": name, "listen": listen, "discovery": discovery, "seed": name,
+		"limits": map[string]any{"cores": 1, "memory_mb": 256, "sockets": 4096}, "known": json.RawMessage(known),
+		"settings": map[string]any{"balancers": r.plan.Size.Nodes, "zone": zone, "discovery": "ask",
+			"grades": []any{
+				map[string]any{"name": "search", "aim_s": 0.8, "deadline_s": 2, "effect": "free", "group": "all", "gain": 1},
+				map[string]any{"name": "place-accept", "aim_s": 1.5, "deadline_s": 3, "effect": "guarded", "group": "cell", "gain": 4, "repeat_window_s": 12}},
+			"projects": []any{}, "over_share_worth": 0.2, "report": map[string]any{"how": "piggyback", "names": []string{"queue"}},
+			"policy_limits": map[string]any{"cancel": true, "max_attempts": 3, "retry_after": false, "max_retry_after_s": 2,
+				"conn_idle_s": idle.Seconds(), "connect_timeout_s": 0.25},
+			"invariants": map[string]any{"drain_grace_s": 1, "cold_s": 10, "cold_share": 0.2, "fall_s": 1.5, "overload_factor": 2.5,
+				"must_ask_in_s": 7}}})
+	if err != nil {
+		return "", err
+	}
+	return r.file(".json", text)
+}
+
+// realNode is a node as a process.
+type realNode struct {
+	*child
+	addr  string
+	mgmt  string        // where operators call; empty: nobody can
+	began time.Duration // from its start until it was ready
+}
+
+const beginMost = 30 * time.Second
+
+// nodeSetup is what a node's process is started with.
+type nodeSetup struct {
+	binary    string // empty: the run's own
+	name      string
+	discovery string
+	zone      string
+	known     []byte        // the list that it starts with
+	idle      time.Duration // how long web servers let connections rest
+	env       []string      // added to its environment
+}
+
+// node starts a node and waits until it is ready.
+func (r *run) node(ctx context.Context, s nodeSetup) (*realNode, error) {
+	name := s.name
+	addr, err := standin.FreeAddr()
+	if err != nil {
+		return nil, err
+	}
+	path, err := r.config(name, addr, s.discovery, s.zone, s.known, s.idle)
+	if err != nil {
+		return nil, err
+	}
+	begun := time.Now()
+	c, err := r.herd.startOf(cmp.Or(s.binary, r.opt.Binary), name, append(s.env, "GW_CONFIG="+path), "node")
+	if err != nil {
+		return nil, err
+	}
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for end := begun.Add(beginMost); time.Now().Before(end); {
+		if resp, err := client.Get("http://" + addr + "/ready"); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return &realNode{child: c, addr: addr, began: time.Since(begun)}, nil
+			}
+		}
+		select {
+		case <-c.done:
+			return nil, fmt.Errorf("%s: %w: %s", name, errBegun, c.logs.String())
+		case <-ctx.Done():
+			return nil, context.Cause(ctx)
+		case <-time.After(2 * time.Millisecond):
+		}
+	}
+	r.herd.end(c)
+	return nil, fmt.Errorf("%s: %w within %v: %s", name, errBegun, beginMost, c.logs.String())
+}
+
+// worker starts a worker. Env is added to its environment.
+func (r *run) worker(role string, env ...string) (*child, error) {
+	return r.herd.start(role, env, "lab", "scale-worker")
+}
--- /dev/null
+++ b/internal/lab/scale/roster_test.go
@@ -0,0 +1,158 @@
+package scale
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// get asks the stand-in once.
+func get(t *testing.T, addr, query string) (int, answer) {
+	t.Helper()
+	resp, err := http.Get("http://" + addr + "/v1/endpoints" + query)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var a answer
+	if resp.StatusCode == http.StatusOK {
+		if err := json.Unmarshal(text, &a); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return resp.StatusCode, a
+}
+
+func startRoster(t *testing.T, servers int) (*Roster, string) {
+	t.Helper()
+	r := NewRoster(servers, 3, nil)
+	addr, err := r.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Stop)
+	return r, addr
+}
+
+func TestRosterVersions(t *testing.T) {
+	r, addr := startRoster(t, 10)
+	_, a := get(t, addr, "")
+	if a.Version != 1 || !a.Full || len(a.Servers) != 10 || a.Servers[4].Zone != "zone-01" {
+		t.Fatalf("the whole list: %+v", a)
+	}
+	if _, a := get(t, addr, "?since=1&timeout_ms=1"); a.Version != 1 || a.Full || len(a.Servers) != 0 {
+		t.Errorf("nothing new: %+v", a)
+	}
+	if v := r.Set("Terminating", false, 3); v != 2 {
+		t.Errorf("version %d", v)
+	}
+	r.Set("Gone", false, 3, 4)
+	_, a = get(t, addr, "?since=1")
+	if a.Version != 4 || a.Full || len(a.Servers) != 3 || a.Servers[0].State != "Terminating" || a.Servers[2].ID != "web-00004" {
+		t.Errorf("the changes since 1: %+v", a)
+	}
+	if _, a := get(t, addr, "?since=3"); len(a.Servers) != 1 || a.Full {
+		t.Errorf("the changes since 3: %+v", a)
+	}
+	if _, a := get(t, addr, ""); len(a.Servers) != 8 {
+		t.Errorf("the whole list without two: %d", len(a.Servers))
+	}
+	if _, a := get(t, addr, "?since=9"); !a.Full || a.Version != 4 {
+		t.Errorf("a version that never was: %+v", a)
+	}
+	if v := r.Forget("Ready", 3); v != 5 {
+		t.Errorf("version %d", v)
+	}
+	if _, a := get(t, addr, "?since=4"); !a.Full || a.Version != 5 || len(a.Servers) != 9 {
+		t.Errorf("a version that is not kept: %+v", a)
+	}
+	if v, _ := r.Heard(); v != 9 {
+		t.Errorf("heard of %d", v)
+	}
+	if calls, bytes := r.Tally(); calls != 7 || bytes < 7*100 {
+		t.Errorf("%d calls, %d bytes", calls, bytes)
+	}
+}
+
+// What is kept is bounded: behind it the whole list is told.
+func TestRosterBound(t *testing.T) {
+	r, addr := startRoster(t, 2)
+	for range keptMost + 5 {
+		r.Set("Ready", true, 1)
+	}
+	last := r.Version()
+	if _, a := get(t, addr, "?since=6"); a.Full || len(a.Servers) != keptMost {
+		t.Errorf("the edge of what is kept: full %v, %d lines", a.Full, len(a.Servers))
+	}
+	if _, a := get(t, addr, "?since=5"); !a.Full || a.Version != last {
+		t.Errorf("behind what is kept: full %v, version %d", a.Full, a.Version)
+	}
+}
+
+// A watch waits until something is new; one that waits as discovery goes out is answered so.
+func TestRosterWatch(t *testing.T) {
+	r, addr := startRoster(t, 2)
+	for _, c := range []struct {
+		change func()
+		status int
+		lines  int
+	}{{func() { r.Set("Gone", false, 0) }, http.StatusOK, 1}, {func() { r.SetDown(true) }, http.StatusServiceUnavailable, 0}} {
+		calls, _ := r.Tally()
+		type got struct {
+			status int
+			answer
+		}
+		done := make(chan got, 1)
+		since := r.Version()
+		go func() {
+			resp, err := http.Get("http://" + addr + "/v1/endpoints?timeout_ms=60000&since=" + string('0'+rune(since)))
+			if err != nil {
+				done <- got{}
+				return
+			}
+			defer resp.Body.Close()
+			var a answer
+			json.NewDecoder(resp.Body).Decode(&a)
+			done <- got{resp.StatusCode, a}
+		}()
+		for end := time.Now().Add(time.Minute); ; time.Sleep(time.Millisecond) {
+			if n, _ := r.Tally(); n > calls {
+				break // it is there
+			}
+			if time.Now().After(end) {
+				t.Fatal("the watch has not come")
+			}
+		}
+		c.change()
+		if g := <-done; g.status != c.status || len(g.Servers) != c.lines {
+			t.Errorf("%+v, want %d", g, c.status)
+		}
+	}
+	if status, _ := get(t, addr, ""); status != http.StatusServiceUnavailable {
+		t.Errorf("out: %d", status)
+	}
+	r.SetDown(false)
+	if status, a := get(t, addr, ""); status != http.StatusOK || len(a.Servers) != 1 {
+		t.Errorf("back: %d, %+v", status, a)
+	}
+	big := NewRoster(600, 3, nil)
+	for kind, want := range map[string]int{"zone": 200, "rack": rackOf, "machine": 1} {
+		which := big.Group(kind)
+		zones := map[string]bool{}
+		for _, i := range which {
+			zones[big.entries[i].Zone] = true
+		}
+		if len(which) != want || len(zones) != 1 {
+			t.Errorf("a %s has %d servers in %d zones", kind, len(which), len(zones))
+		}
+	}
+	if r.Busiest(time.Now().Add(-time.Minute)) < 1 || len(r.Group("zone")) != 1 {
+		t.Error("calls a second, or a zone's servers")
+	}
+}
--- /dev/null
+++ b/internal/lab/scale/run.go
@@ -0,0 +1,174 @@
+package scale
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Options of a run.
+type Options struct {
+	Binary string    // portstall itself: its subcommands are the run's processes
+	Tell   io.Writer // a line as each part begins; nil: nothing is told
+}
+
+// run is one run.
+type run struct {
+	plan *Plan
+	opt  Options
+	dir  string
+	herd *herd
+
+	begun time.Time
+
+	mu     sync.Mutex
+	report Report
+	files  int
+}
+
+// errBegun is that a node did not come up.
+var errBegun = errors.New("did not come up")
+
+// Run carries out a plan. Budgets that are passed are in the report; the error is of the run itself, and ErrBound where it passed a
+// bound of its own: then the report has what was found before. All that it started has ended when it returns.
+func Run(ctx context.Context, p *Plan, o Options) (*Report, error) {
+	r, ctx, end, err := begin(ctx, p, o, p.Bound)
+	if err != nil {
+		return nil, err
+	}
+	r.report.Load[0] = load()
+	err = r.parts(ctx)
+	cause := end()
+	r.report.Load[1] = load()
+	r.report.Took, r.report.Memory, r.report.Procs = time.Since(r.begun).Seconds(), r.herd.peak, r.herd.peakProc
+	r.day()
+	r.report.judge(p.Budgets)
+	if cause != nil { // what else went wrong went wrong by it
+		err = cause
+	}
+	return &r.report, err
+}
+
+// begin begins a run in a folder of its own. Its context ends where a bound of the plan is passed. End ends all that was started, and tells
+// for what the run was given up; nil: it was not. It is to be called once.
+func begin(ctx context.Context, p *Plan, o Options, bound time.Duration) (r *run, within context.Context, end func() error, err error) {
+	dir, err := os.MkdirTemp("", "portstall-scale")
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	within, cancel := context.WithCancelCause(ctx)
+	late := time.AfterFunc(bound, func() { cancel(fmt.Errorf("%w: not over after %v", ErrBound, bound)) })
+	r = &run{plan: p, opt: o, dir: dir, begun: time.Now(), report: Report{Plan: p.Name, Cores: runtime.NumCPU(), Sped: 1}}
+	r.herd = newHerd(o.Binary, dir, int64(p.MemoryMB)<<20, p.Processes, cancel)
+	return r, within, func() error {
+		r.herd.close()
+		cause := context.Cause(within)
+		late.Stop()
+		cancel(nil)
+		os.RemoveAll(dir)
+		return cause
+	}, nil
+}
+
+// load is the machine's load average of a minute; 0 where it is not told.
+func load() float64 {
+	text, _ := os.ReadFile("/proc/loadavg")
+	first, _, _ := strings.Cut(string(text), " ")
+	v, _ := strconv.ParseFloat(first, 64)
+	return v
+}
+
+// parts carries out what the plan names. What is measured by processor time goes alone, or beside what hardly works.
+func (r *run) parts(ctx context.Context) error {
+	p := r.plan
+	for _, part := range []struct {
+		name string
+		do   func(ctx context.Context) error
+		on   bool
+	}{
+		{"real nodes at several sizes of the list, and hollow nodes in one process", r.nodes, p.List != nil || p.Hollow != nil},
+		{"contracts, plans, files, members, parts of contracts", r.inside, true},
+		{"control processes and what follows them", r.control, p.Control != nil},
+		{"one node's connections as servers become many", r.pool, p.Pool != nil},
+		{"the fleet and its faults", r.fleet, p.Fleet != nil},
+	} {
+		if !part.on {
+			continue
+		}
+		if r.opt.Tell != nil {
+			fmt.Fprintf(r.opt.Tell, "%5.1f s  %s\n", time.Since(r.begun).Seconds(), part.name)
+		}
+		if err := part.do(ctx); err != nil {
+			return fmt.Errorf("%s: %w", part.name, err)
+		}
+	}
+	return nil
+}
+
+// add notes rows.
+func (r *run) add(rows ...Row) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.add(rows...)
+}
+
+// line notes a row by the line through its points, told for a size: by what was measured there, where it was, else by the line.
+func (r *run) line(row Row, points []Point, size float64) error {
+	slices.SortFunc(points, func(a, b Point) int { return cmp.Compare(a.X, b.X) })
+	l, err := Fit(points)
+	if err != nil {
+		return fmt.Errorf("%s: %w", row.ID, err)
+	}
+	row.Points, row.Line, row.Size, row.At, row.Origin = points, &l, size, l.At(size), Sloped
+	if i := slices.IndexFunc(points, func(p Point) bool { return p.X == size }); i >= 0 {
+		row.At, row.Origin = points[i].Y, Ran
+	}
+	r.add(row)
+	return nil
+}
+
+// file writes a file of the run.
+func (r *run) file(ending string, text []byte) (string, error) {
+	r.mu.Lock()
+	r.files++
+	path := filepath.Join(r.dir, fmt.Sprintf("%d%s", r.files, ending))
+	r.mu.Unlock()
+	return path, os.WriteFile(path, text, 0o600)
+}
+
+// pause waits.
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// until waits for something, that is looked at often, for so long at most.
+func until(ctx context.Context, most time.Duration, what string, ok func() bool) error {
+	for end := time.Now().Add(most); !ok(); {
+		if time.Now().After(end) {
+			return fmt.Errorf("%s: not within %v", what, most)
+		}
+		if err := pause(ctx, time.Millisecond); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+const heardMost = 30 * time.Second // a node that asks no more after that long is broken
--- /dev/null
+++ b/internal/lab/scale/web.go
@@ -0,0 +1,165 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"portstall/internal/lab/standin"
+)
+
+// web is stand-in web servers, all in one process: each answers after a while, tells its queue, and how long it took.
+type web struct {
+	addrs    []string
+	server   *http.Server
+	wg       sync.WaitGroup
+	conns    atomic.Int64
+	requests atomic.Int64
+
+	mu    sync.Mutex
+	last  map[string]time.Time // by server: when it last had a request
+	fresh [len(freshFor)]int64 // requests that came so soon behind the one before at the same server
+}
+
+// freshFor is how old a report may be: the policy's memory of one, and how long a connection rests.
+var freshFor = [...]time.Duration{2 * time.Second, 9 * time.Second}
+
+// came notes a request at a server.
+func (s *web) came(server string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if before, known := s.last[server]; known {
+		for i, d := range freshFor {
+			if now.Sub(before) <= d {
+				s.fresh[i]++
+			}
+		}
+	}
+	s.last[server] = now
+}
+
+// startWeb starts so many. Service is what each takes over a request, idle how long it lets a connection rest.
+func startWeb(count int, service, idle time.Duration) (*web, error) {
+	s := &web{last: map[string]time.Time{}}
+	s.server = &http.Server{IdleTimeout: idle, ErrorLog: log.New(io.Discard, "", 0), Handler: http.HandlerFunc(
+		func(w http.ResponseWriter, r *http.Request) {
+			begun := time.Now()
+			s.requests.Add(1)
+			if at, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr); ok {
+				s.came(at.String(), begun)
+			}
+			io.Copy(io.Discard, r.Body)
+			time.Sleep(service)
+			w.Header().Set("X-Load", `{"queue":0}`)
+			io.WriteString(w, strconv.FormatInt(time.Since(begun).Nanoseconds(), 10))
+		}), ConnState: func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			s.conns.Add(1)
+		}
+	}}
+	host, err := standin.Host()
+	if err != nil {
+		return nil, err
+	}
+	for range count {
+		ln, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+		if err != nil {
+			s.stop()
+			return nil, fmt.Errorf("web servers: %w", err)
+		}
+		s.addrs = append(s.addrs, ln.Addr().String())
+		s.wg.Go(func() { s.server.Serve(ln) })
+	}
+	return s, nil
+}
+
+// counts are connections, requests, and those by freshFor.
+func (s *web) counts() map[string]float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := map[string]float64{"conns": float64(s.conns.Load()), "requests": float64(s.requests.Load())}
+	for i, d := range freshFor {
+		f[d.String()] = float64(s.fresh[i])
+	}
+	return f
+}
+
+func (s *web) stop() {
+	s.server.Close()
+	s.wg.Wait()
+}
+
+// took is what the clients of a node met.
+type took struct {
+	mu     sync.Mutex
+	added  []float64 // seconds beyond what the web server took, of those that were served
+	asked  int
+	served int
+}
+
+// clients sends requests to a node until ctx ends, at an even rate whatever comes of them, and waits for the last. Until count is
+// set nothing is counted.
+func (t *took) clients(ctx context.Context, addr, name string, rate float64, count *atomic.Bool) {
+	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}}
+	defer client.CloseIdleConnections()
+	var wg sync.WaitGroup
+	begun := time.Now()
+	for i := 0; ; i++ {
+		at := begun.Add(time.Duration(float64(i) / rate * float64(time.Second)))
+		wait := time.NewTimer(time.Until(at))
+		select {
+		case <-wait.C:
+		case <-ctx.Done():
+			wait.Stop()
+			wg.Wait()
+			return
+		}
+		wg.Go(func() {
+			counted := count.Load()
+			added, ok := ask(client, addr, fmt.Sprintf("%s-%d", name, i), "")
+			if !counted {
+				return
+			}
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			t.asked++
+			if ok {
+				t.served++
+				t.added = append(t.added, added)
+			}
+		})
+	}
+}
+
+// ask asks once, for a tenant or (empty) for nobody. Added is what the answer took beyond the time that the web server tells.
+func ask(client *http.Client, addr, id, tenant string) (added float64, ok bool) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+addr+"/api", nil)
+	if err != nil {
+		return 0, false
+	}
+	req.Header.Set("X-Request-Id", id)
+	req.Header.Set("X-Class", "search")
+	if tenant != "" {
+		req.Header.Set("X-Tenant", tenant)
+	}
+	req.Header.Set("X-Deadline", "3000m")
+	begun := time.Now()
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, false
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		return 0, false
+	}
+	ns, err := strconv.ParseInt(string(text), 10, 64)
+	return time.Since(begun).Seconds() - float64(ns)/1e9, err == nil
+}
--- /dev/null
+++ b/internal/lab/scale/worker_test.go
@@ -0,0 +1,60 @@
+package scale
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"portstall/internal/lab/standin"
+)
+
+// A hollow node that is to follow control is up once it has a configuration; one that gets none in time is an error that names it.
+func TestConfigured(t *testing.T) {
+	text := &Plan{Size: Size{Nodes: 1, Servers: 1, Tenants: 1, Services: 1, Zones: 1, Regions: 1}, Bound: 4 * time.Minute, MemoryMB: 2048, Processes: 9}
+	r, ctx, end, err := begin(t.Context(), text, Options{Binary: built}, text.Bound)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer end()
+	roster := NewRoster(1, 1, nil)
+	discovery, err := roster.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer roster.Stop()
+	config, err := r.config("hollow", "127.0.0.1:1", discovery, zoneName(0), roster.Whole(), time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	files, err := r.folder(1, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	controls, err := r.controls(ctx, 1, files, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	nobody, err := standin.FreeAddr()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for addr, want := range map[string]error{controls[0].addr: nil, nobody: errBegun} {
+		product, err := r.product("", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w := &worker{most: time.Minute}
+		if want != nil {
+			w.most = 50 * time.Millisecond
+		}
+		o := r.names(0, 1, func(int) string { return discovery })
+		o.Config, o.Products = config, []string{product}
+		if err := w.hollow(o); !errors.Is(err, want) {
+			t.Errorf("%v, want %v", err, want)
+		}
+		if has := !w.nodes[0].run.Figures().Configuration.IsZero(); has != (want == nil) {
+			t.Errorf("it has a configuration: %v", has)
+		}
+		w.end()
+	}
+}
