The scale run tells each part's load and the processor time that the machine's host takes

The report names it by part now, read with prometheus/procfs, which client_golang brings already; the load average's own parser went for it. Ruled out: a figure a row, since parts go one by one.

--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -10,10 +10,10 @@
 	"path/filepath"
 	"runtime"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
+
+	"github.com/prometheus/procfs"
 )
 
 // Options of a run.
@@ -28,6 +28,7 @@
 	opt  Options
 	dir  string
 	herd *herd
+	on   machine
 
 	begun time.Time
 
@@ -46,10 +47,10 @@
 	if err != nil {
 		return nil, err
 	}
-	r.report.Load[0] = load()
+	r.report.Load[0] = r.on.load()
 	err = r.parts(ctx)
 	cause := end()
-	r.report.Load[1] = load()
+	r.report.Load[1] = r.on.load()
 	r.report.Took, r.report.Memory, r.report.Procs = time.Since(r.begun).Seconds(), r.herd.peak, r.herd.peakProc
 	r.day()
 	r.report.judge(p.Budgets)
@@ -68,7 +69,7 @@
 	}
 	within, cancel := context.WithCancelCause(ctx)
 	late := time.AfterFunc(bound, func() { cancel(fmt.Errorf("%w: not over after %v", ErrBound, bound)) })
-	r = &run{plan: p, opt: o, dir: dir, begun: time.Now(), report: Report{Plan: p.Name, Cores: runtime.NumCPU(), Sped: 1}}
+	r = &run{plan: p, opt: o, dir: dir, on: machineAt(procfs.DefaultMountPoint), begun: time.Now(), report: Report{Plan: p.Name, Cores: runtime.NumCPU(), Sped: 1}}
 	r.herd = newHerd(o.Binary, dir, int64(p.MemoryMB)<<20, p.Processes, cancel)
 	return r, within, func() error {
 		r.herd.close()
@@ -80,14 +81,6 @@
 	}, nil
 }
 
-// load is the machine's load average of a minute; 0 where it is not told.
-func load() float64 {
-	text, _ := os.ReadFile("/proc/loadavg")
-	first, _, _ := strings.Cut(string(text), " ")
-	v, _ := strconv.ParseFloat(first, 64)
-	return v
-}
-
 // parts carries out what the plan names. What is measured by processor time goes alone, or beside what hardly works.
 func (r *run) parts(ctx context.Context) error {
 	p := r.plan
@@ -108,7 +101,11 @@
 		if r.opt.Tell != nil {
 			fmt.Fprintf(r.opt.Tell, "%5.1f s  %s\n", time.Since(r.begun).Seconds(), part.name)
 		}
-		if err := part.do(ctx); err != nil {
+		begun, row, steal := time.Now(), PartRow{Part: part.name, Load: r.on.load()}, r.on.stolen()
+		err := part.do(ctx)
+		row.Took, row.Steal = time.Since(begun).Seconds(), r.on.stolen()-steal
+		r.report.Parts = append(r.report.Parts, row)
+		if err != nil {
 			return fmt.Errorf("%s: %w", part.name, err)
 		}
 	}
--- a/internal/lab/scale/table.go
+++ b/internal/lab/scale/table.go
@@ -71,6 +71,7 @@
 	Took   float64    `json:"took_s"`
 	Memory int64      `json:"memory_bytes"` // the most that all processes of the run had resident, as far as it was looked at
 	Procs  int        `json:"processes"`    // the most that there were
+	Parts  []PartRow  `json:"parts"`
 	Rows   []Row      `json:"rows"`
 	Faults []FaultRow `json:"faults"`
 	Broken []string   `json:"broken"` // budgets and bounds that must hold and don't
@@ -124,6 +125,14 @@
 		r.Load[0], r.Load[1], r.Procs, Amount(float64(r.Memory), "B"))
 	fmt.Fprintf(w, "churn went %.0f times as fast as in life\n\n", r.Sped)
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	if len(r.Parts) > 0 {
+		fmt.Fprintln(tw, "part\ttook\tload at its begin\tprocessor time that the host took\tof the cores'\t")
+		for i := range r.Parts {
+			p := &r.Parts[i]
+			fmt.Fprintf(tw, "%s\t%s\t%.1f\t%s\t%.1f%%\t\n", p.Part, Amount(p.Took, "s"), p.Load, Amount(p.Steal, "s"), 100*p.Stolen(r.Cores))
+		}
+		fmt.Fprintln(tw)
+	}
 	fmt.Fprintln(tw, "role\tfigure\tmeasured (size: figure)\tslope\toff\tat full size\tby\tbudget\tratio\t")
 	for i := range r.Rows {
 		f := &r.Rows[i]
--- a/internal/lab/scale/table_test.go
+++ b/internal/lab/scale/table_test.go
@@ -44,14 +44,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := Report{Plan: "p", Rows: []Row{{ID: "a", Role: "node", Figure: "resident", Unit: "B", Of: "server", Points: []Point{{1, 1024}, {2, 2048}, {3, 3072}}, Line: &l,
+	r := Report{Plan: "p", Cores: 8, Parts: []PartRow{{Part: "the pool", Took: 35, Load: 3.5, Steal: 7}}, Rows: []Row{{ID: "a", Role: "node", Figure: "resident", Unit: "B", Of: "server", Points: []Point{{1, 1024}, {2, 2048}, {3, 3072}}, Line: &l,
 		Size: 10, At: l.At(10), Origin: Sloped}}, Faults: []FaultRow{{Fault: "region cut", What: "list", Nodes: 4, Had: 3, P50: 0.0015, Asked: 10, Served: 0.5}}}
 	r.judge([]Budget{{"a", 5120, true}})
 	var text, list bytes.Buffer
 	if err := r.Print(&text); err != nil {
 		t.Fatal(err)
 	}
-	for _, want := range []string{"1: 1 KiB, 2: 2 KiB, 3: 3 KiB", "1 KiB a server", "10 KiB", "5 KiB (must)", "2.00 PASSED", "slope", "3 of 4", "1.5 ms", "0.5000 of 10", "broken: a (resident)"} {
+	for _, want := range []string{"1: 1 KiB, 2: 2 KiB, 3: 3 KiB", "1 KiB a server", "10 KiB", "5 KiB (must)", "2.00 PASSED", "slope", "3 of 4", "1.5 ms", "0.5000 of 10", "broken: a (resident)",
+		"the pool", "35 s", "7 s", "2.5%"} {
 		if !strings.Contains(text.String(), want) {
 			t.Errorf("%q is not in\n%s", want, text.String())
 		}
