Opaque tunnels hold a bounded number of the kernel's pipes, and those are kept back

Ruled out: counting four a tunnel, which is more than clients and servers share.

Change: 16 copies at a time go by a pipe, the others by a buffer of 32 KB at most; 96 descriptors are kept back for pipes where the file has tunnels (16 in use, and what sync.Pool keeps at rest: two a core of 16). Forced with 40 copies held: 40 pipes before, 16 after, and all 160 MB come unharmed by either way. Not measured: tunnels' throughput; a copy pays one more channel operation.

--- a/internal/back/tunnel/opaque.go
+++ b/internal/back/tunnel/opaque.go
@@ -36,12 +36,18 @@
 // idle limit counts as one that takes nothing.
 const chunk = 256 << 10
 
+// PipesMost is how many copies between two sockets go by a pipe of the kernel's (splice) at a time, over all tunnels. A pipe is two
+// descriptors for as long as the other side takes, and nobody counts who reads slowly; past it a copy goes by a buffer.
+const PipesMost = 16
+
 // Back opens opaque tunnels and knows those that stand. It is safe for concurrent use.
 type Back struct {
 	Core *core.Core
 	Pool *back.Pool
 	Away func() bool // whether the node drains, or leaves
 
+	pipes chan struct{} // holds one for each pipe in use
+
 	mu    sync.Mutex
 	open  map[*Tunnel]struct{}
 	ended map[Cause]uint64
@@ -50,7 +56,7 @@
 
 // New returns a back with no tunnels.
 func New(c *core.Core, p *back.Pool, away func() bool) *Back {
-	return &Back{Core: c, Pool: p, Away: away, open: map[*Tunnel]struct{}{}, ended: map[Cause]uint64{}}
+	return &Back{Core: c, Pool: p, Away: away, pipes: make(chan struct{}, PipesMost), open: map[*Tunnel]struct{}{}, ended: map[Cause]uint64{}}
 }
 
 // Tunnel is a message.Tunnel: a connection to a server for one client.
@@ -297,7 +303,7 @@
 		}
 		// By when it came, not by when the copy returns: the other side may have answered before that.
 		came := time.Now()
-		n, err := io.CopyN(dst, src, int64(min(max(there, 1), chunk))) // by splice, where both are TCP
+		n, err := t.back.copy(dst, src, int64(min(max(there, 1), chunk)))
 		if t.moved(int(n), up, came) != nil {
 			return
 		}
@@ -323,6 +329,18 @@
 	}
 }
 
+// copy passes so many bytes on: by splice, where both are TCP and a pipe is free, else by a buffer. It returns fewer only with an
+// error, io.EOF where the source has ended.
+func (b *Back) copy(dst io.Writer, src io.Reader, n int64) (int64, error) {
+	select {
+	case b.pipes <- struct{}{}:
+		defer func() { <-b.pipes }()
+	default:
+		dst, src = struct{ io.Writer }{dst}, struct{ io.Reader }{src} // which hides that they are sockets
+	}
+	return io.CopyN(dst, src, n)
+}
+
 // isWrite tells whether an error of a copy is its writing side's.
 func isWrite(err error) bool {
 	var op *net.OpError
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	backtunnel "portstall/internal/back/tunnel"
 	"portstall/internal/config"
 	"portstall/internal/control/follow"
 	"portstall/internal/core"
@@ -105,6 +106,10 @@
 // mgmtSockets is the operators' listener, their connections, and one that comes and has not made the oldest go yet.
 const mgmtSockets = mgmt.MaxConns + 2
 
+// pipeSockets is what opaque tunnels' pipes hold: two descriptors each of those in use, and of those that rest unseen with the
+// runtime until it collects them, two a core (sync.Pool's own and its victim). That is for 16 cores; a node has one to four.
+const pipeSockets = 2 * (backtunnel.PipesMost + 2*16)
+
 // productSockets is what the parts of the product's file hold at most beside what they share with clients and backends.
 func (c *Config) productSockets() int {
 	f, n := c.Product, 0
@@ -113,6 +118,7 @@
 	}
 	if f.Tunnels != nil {
 		n += 2 + 2 + 64 // listeners, a connection that each has just taken, and clients that ask
+		n += pipeSockets
 	}
 	if f.Members != nil {
 		n += 2 + 1 + 2*32 // sockets, one that was just taken, and lists that come and go
