Tests make a connection's ends, and a node's handed processes, in one place

The set-up of a clients' socket that is handed on, with its discovery, stood in TestUpgrade and again in the test of a process without a configuration; the two ends of a connection that are closed behind a test stood in flow and in back/tunnel. standin.Ends and processes serve them now.

--- a/cmd/portstall/control_node_test.go
+++ b/cmd/portstall/control_node_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -107,30 +106,10 @@
 	}))
 	t.Cleanup(backend.Close)
 	known := fmt.Sprintf(`{"version":2,"full":true,"servers":[{"id":"s-1","addr":%q,"zone":"n","kind":"k","state":"Ready"}]}`, backend.Listener.Addr())
-	registry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.RawQuery == "" {
-			io.WriteString(w, known)
-			return
-		}
-		<-r.Context().Done()
-	}))
-	t.Cleanup(registry.Close)
-	ln, err := standin.Listen()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	socket, err := ln.(*net.TCPListener).File()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer socket.Close()
-	bin, tmp := built(t), t.TempDir()
-	text := fmt.Sprintf(`{"seed":"1","limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":%s,"settings":%s}`, known, settings)
+	more := processes(t, known)
 	next := func(env ...string) *program {
-		p := &program{addr: ln.Addr().String(), config: write(t, text), cmd: exec.Command(bin, "node")}
-		p.cmd.ExtraFiles = []*os.File{socket}
-		p.launch(t, append(env, "GW_LISTEN="+p.addr, "GW_DISCOVERY="+registry.Listener.Addr().String(), "TMPDIR="+tmp, "GW_ACCEPT_FD=3")...)
+		p, its := more()
+		p.launch(t, append(env, its...)...)
 		return p
 	}
 	all := resourceOf(resource.Contract, "all", `{"name":"all"}`)
--- a/cmd/portstall/main_test.go
+++ b/cmd/portstall/main_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -33,6 +34,37 @@
 	return bin
 }
 
+// processes makes the processes of one node, in turn: each is handed the clients' listening socket, has a list in its file, and a
+// discovery that tells it and nothing more. They are not started; env is what each is to be started with.
+func processes(t *testing.T, known string) (next func() (p *program, env []string)) {
+	t.Helper()
+	registry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.RawQuery == "" {
+			io.WriteString(w, known)
+			return
+		}
+		<-r.Context().Done()
+	}))
+	t.Cleanup(registry.Close)
+	ln, err := standin.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	socket, err := ln.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { socket.Close() })
+	bin, tmp := built(t), t.TempDir()
+	text := fmt.Sprintf(`{"seed":"1","limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":%s,"settings":%s}`, known, settings)
+	return func() (*program, []string) {
+		p := &program{addr: ln.Addr().String(), config: write(t, text), cmd: exec.Command(bin, "node")}
+		p.cmd.ExtraFiles = []*os.File{socket}
+		return p, []string{"GW_LISTEN=" + p.addr, "GW_DISCOVERY=" + registry.Listener.Addr().String(), "TMPDIR=" + tmp, "GW_ACCEPT_FD=3"}
+	}
+}
+
 func write(t *testing.T, text string) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
--- a/cmd/portstall/upgrade_test.go
+++ b/cmd/portstall/upgrade_test.go
@@ -3,17 +3,12 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
-	"os/exec"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
-
-	"portstall/internal/lab/standin"
 )
 
 // A new process takes over from the old one while clients ask without a break: no request is turned away, a web server
@@ -30,31 +25,10 @@
 	}
 	known := fmt.Sprintf(`{"version":2,"full":true,"servers":[{"id":"s-1","addr":%q,"zone":"n","kind":"k","state":"Ready"},`+
 		`{"id":"s-2","addr":%q,"zone":"n","kind":"k","state":"Ready"}]}`, backend(new(atomic.Int64)), backend(&out))
-	registry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.RawQuery == "" {
-			io.WriteString(w, known)
-			return
-		}
-		<-r.Context().Done()
-	}))
-	t.Cleanup(registry.Close)
-
-	ln, err := standin.Listen()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	socket, err := ln.(*net.TCPListener).File()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer socket.Close()
-	bin, tmp := built(t), t.TempDir()
-	text := fmt.Sprintf(`{"seed":"1","limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":%s,"settings":%s}`, known, settings)
+	more := processes(t, known)
 	next := func() *program {
-		p := &program{addr: ln.Addr().String(), config: write(t, text), cmd: exec.Command(bin, "node")}
-		p.cmd.ExtraFiles = []*os.File{socket}
-		p.run(t, "GW_LISTEN="+p.addr, "GW_DISCOVERY="+registry.Listener.Addr().String(), "TMPDIR="+tmp, "GW_ACCEPT_FD=3")
+		p, env := more()
+		p.run(t, env...)
 		return p
 	}
 	old := next()
--- a/internal/back/tunnel/pipes_test.go
+++ b/internal/back/tunnel/pipes_test.go
@@ -16,20 +16,6 @@
 	"portstall/internal/lab/standin"
 )
 
-// pair makes a connection's two ends, which are closed behind the test.
-func pair(t *testing.T) (far, near *net.TCPConn) {
-	t.Helper()
-	far, near, err := standin.Pair()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		far.Close()
-		near.Close()
-	})
-	return far, near
-}
-
 // pipes counts the pipes that this process holds by one descriptor or two.
 func pipes(t *testing.T) int {
 	t.Helper()
@@ -69,8 +55,8 @@
 	var wg sync.WaitGroup
 	texts, readers := make([][]byte, copies), make([]*net.TCPConn, copies)
 	for i := range copies {
-		from, src := pair(t)
-		dst, to := pair(t)
+		from, src := standin.Ends(t)
+		dst, to := standin.Ends(t)
 		dst.SetWriteBuffer(16 << 10) // far less than is sent, so that the copy waits
 		to.SetReadBuffer(16 << 10)
 		texts[i], readers[i] = make([]byte, size), to
@@ -110,8 +96,8 @@
 	if len(b.pipes) != 0 {
 		t.Errorf("%d pipes are not given back", len(b.pipes))
 	}
-	from, src := pair(t)
-	dst, to := pair(t)
+	from, src := standin.Ends(t)
+	dst, to := standin.Ends(t)
 	io.WriteString(from, "short")
 	from.CloseWrite()
 	if n, err := b.copy(dst, src, 10); n != 5 || err != io.EOF {
--- a/internal/flow/socket_test.go
+++ b/internal/flow/socket_test.go
@@ -14,20 +14,6 @@
 	"portstall/internal/lab/standin"
 )
 
-// ends are both ends of a connection: the one that dialled, and the node's.
-func ends(t *testing.T) (*net.TCPConn, net.Conn) {
-	t.Helper()
-	far, near, err := standin.Pair()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		far.Close()
-		near.Close()
-	})
-	return far, near
-}
-
 // pour writes at most so many bytes in pieces, as long as the kernel takes them at once, and tells how many it took.
 func pour(t *testing.T, c *net.TCPConn, most, piece int) int {
 	t.Helper()
@@ -58,7 +44,7 @@
 				}
 				t.Run(fmt.Sprint(how, " behind ", most, " in pieces of ", piece), func(t *testing.T) {
 					t.Parallel()
-					far, near := ends(t)
+					far, near := standin.Ends(t)
 					pour(t, far, most, piece)
 					if Left(near) {
 						t.Fatal("it has left before it did")
@@ -86,7 +72,7 @@
 		for _, piece := range []int{100, 64 << 10} {
 			t.Run(fmt.Sprint(how, " in pieces of ", piece), func(t *testing.T) {
 				t.Parallel()
-				far, near := ends(t)
+				far, near := standin.Ends(t)
 				if n := pour(t, far, 16<<20, piece); n < 200<<10 {
 					t.Fatalf("the kernel took %d bytes: the window is not shut", n)
 				}
@@ -112,7 +98,7 @@
 		for _, piece := range []int{1, 100, 64 << 10} {
 			t.Run(fmt.Sprint(how, " in pieces of ", piece), func(t *testing.T) {
 				t.Parallel()
-				far, near := ends(t)
+				far, near := standin.Ends(t)
 				// Single bytes take long: 256 KB of them shut the window too.
 				if n := pour(t, far, min(16<<20, piece*256<<10), piece); n < 200<<10 || n > SpillMost {
 					t.Fatalf("the kernel took %d bytes", n)
@@ -129,7 +115,7 @@
 		bytes int
 		shut  bool
 	}{{0, false}, {Keep, false}, {Keep + 1, true}} {
-		far, near := ends(t)
+		far, near := standin.Ends(t)
 		if n := pour(t, far, c.bytes, 100); n != c.bytes {
 			t.Fatalf("the kernel took %d bytes", n)
 		}
@@ -153,7 +139,7 @@
 // Who goes on sending ahead of an answer gets none waited for, and is read no further.
 func TestWatchEndsAFlood(t *testing.T) {
 	t.Parallel()
-	far, near := ends(t)
+	far, near := standin.Ends(t)
 	end, stop := Watch(near, bufio.NewReaderSize(near, crowded), true)
 	wrote := make(chan int64, 1)
 	go func() {
@@ -178,7 +164,7 @@
 // machine lets stand for 50 ms has paused.
 func TestSpillEndsAFlood(t *testing.T) {
 	t.Parallel()
-	far, near := ends(t)
+	far, near := standin.Ends(t)
 	pour(t, far, 1, 1) // there is something to throw away, however late the sender begins
 	wrote := make(chan int64, 1)
 	go func() {
@@ -257,7 +243,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			far, near := ends(t)
+			far, near := standin.Ends(t)
 			if n := pour(t, far, c.bytes, 100); n != c.bytes {
 				t.Fatalf("the kernel took %d bytes", n)
 			}
@@ -289,12 +275,7 @@
 // What a request pays for being watched while it waits: the watch as it was (it waits for a byte that does not come), as it is, and as
 // it is for what may not be thrown away. Beside it what the goroutine and the two deadlines cost alone.
 func BenchmarkWatch(b *testing.B) {
-	far, near, err := standin.Pair()
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer far.Close()
-	defer near.Close()
+	_, near := standin.Ends(b)
 	in := bufio.NewReaderSize(near, crowded)
 	for _, c := range []struct {
 		name  string
--- a/internal/lab/standin/conn.go
+++ b/internal/lab/standin/conn.go
@@ -24,6 +24,27 @@
 	return dialled.(*net.TCPConn), taken.(*net.TCPConn), nil
 }
 
+// Test is a test or a benchmark, which gives a helper its failures and what is to be closed behind it.
+type Test interface {
+	Helper()
+	Fatal(args ...any)
+	Cleanup(f func())
+}
+
+// Ends is a Pair of a test's. Both are closed behind it.
+func Ends(t Test) (far, near *net.TCPConn) {
+	t.Helper()
+	far, near, err := Pair()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		far.Close()
+		near.Close()
+	})
+	return far, near
+}
+
 // Pour writes as much of a text as the two kernels take at once, in pieces of at most so many bytes, and tells how much that is. It
 // does not wait for room.
 func Pour(c *net.TCPConn, text string, piece int) (sent int, err error) {
