Bytes of a connection, and a scale run's change, are made in one place each

Read once more: the connection that adds its bytes to counters stood in control and in control/follow, and a change of the configuration under the writer's lock three times in the scale run. follow.Counted and fleet.reconfigure serve them.

--- a/internal/control/counts.go
+++ b/internal/control/counts.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+
+	"portstall/internal/control/follow"
 )
 
 // counts are what a server did since its start.
@@ -37,22 +39,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &countingConn{c, l.counts}, nil
-}
-
-type countingConn struct {
-	net.Conn
-	counts *counts
-}
-
-func (c *countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.counts.bytesIn.Add(int64(n))
-	return n, err
-}
-
-func (c *countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.counts.bytesOut.Add(int64(n))
-	return n, err
+	return follow.Counted(c, &l.counts.bytesIn, &l.counts.bytesOut), nil
 }
--- a/internal/control/follow/client.go
+++ b/internal/control/follow/client.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"portstall/internal/resource"
@@ -117,7 +118,7 @@
 				if err != nil {
 					return nil, err
 				}
-				return &counted{c, count}, nil
+				return Counted(c, &count.bytesIn, &count.bytesOut), nil
 			},
 		}}}
 }
@@ -285,20 +286,22 @@
 	return d.first
 }
 
-// counted counts the bytes of a connection.
+// Counted is a connection whose bytes are added to what is given for them.
+func Counted(c net.Conn, in, out *atomic.Int64) net.Conn { return &counted{c, in, out} }
+
 type counted struct {
 	net.Conn
-	count *Status
+	in, out *atomic.Int64
 }
 
 func (c *counted) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.count.bytesIn.Add(int64(n))
+	c.in.Add(int64(n))
 	return n, err
 }
 
 func (c *counted) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
-	c.count.bytesOut.Add(int64(n))
+	c.out.Add(int64(n))
 	return n, err
 }
--- a/internal/lab/scale/churn.go
+++ b/internal/lab/scale/churn.go
@@ -29,13 +29,7 @@
 // change makes one.
 func (f *fleet) change(ctx context.Context) (c change, err error) {
 	if f.files != nil {
-		f.writing.Lock()
-		defer f.writing.Unlock()
-		c.configAt = time.Now()
-		if err := f.files.change(); err != nil {
-			return c, err
-		}
-		if c.config, err = f.controls[0].reload(); err != nil {
+		if c.configAt, c.config, err = f.reconfigure(); err != nil {
 			return c, err
 		}
 	}
@@ -44,18 +38,25 @@
 	return c, nil
 }
 
+// reconfigure makes one change of the configuration, and tells when it began and the version that it made. It waits while another one
+// is made, and while the writer is away.
+func (f *fleet) reconfigure() (at time.Time, v resource.Version, err error) {
+	f.writing.Lock()
+	defer f.writing.Unlock()
+	at = time.Now()
+	if err := f.files.change(); err != nil {
+		return at, v, err
+	}
+	v, err = f.controls[0].reload()
+	return at, v, err
+}
+
 // configure lets the configuration be changed as in life, so many times faster, until ctx ends.
 func (f *fleet) configure(ctx context.Context) error {
 	each := time.Duration(24 * time.Hour.Seconds() / (f.run.plan.Size.Changes * f.plan.Speed) * float64(time.Second))
 	rng := rand.New(rand.NewPCG(31, 8))
 	for pause(ctx, time.Duration(rng.ExpFloat64()*float64(each))) == nil {
-		f.writing.Lock()
-		err := f.files.change()
-		if err == nil {
-			_, err = f.controls[0].reload()
-		}
-		f.writing.Unlock()
-		if err != nil {
+		if _, _, err := f.reconfigure(); err != nil {
 			return err
 		}
 	}
--- a/internal/lab/scale/cut.go
+++ b/internal/lab/scale/cut.go
@@ -153,13 +153,7 @@
 		if err := pause(ctx, time.Until(at)); err != nil {
 			return err
 		}
-		e.writing.Lock()
-		err := e.files.change()
-		if err == nil {
-			_, err = e.controls[0].reload()
-		}
-		e.writing.Unlock()
-		if err != nil {
+		if _, _, err := e.reconfigure(); err != nil {
 			return err
 		}
 	}
