Review case 3 is now: slow or finely chunked answers are cut off, the client gets 500

Cause: an answer of up to 64 KiB counts as malformed once it pauses for 250 ms, or once its bytes with the framing of chunks are over 144 KiB, though it is whole and valid and the request has time left.

Change: review/3 has another claim and script.

--- a/review/standin/case3/main.go
+++ b/review/standin/case3/main.go
@@ -1,15 +1,17 @@
-// Command case3 sends large requests to web servers of which one has hung (no reset, no answer), and checks that each
-// request gets its final answer by its deadline.
+// Command case3 plays web servers that give whole and valid answers of up to 64 KiB in pieces: some slowly, some in small
+// chunks. It checks that each client gets the answer that a web server gave to its request.
 package main
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
@@ -17,18 +19,61 @@
 )
 
 const (
-	// How much of a body the systems hold between a client and the node, and between the node and a web server that has
-	// hung, is not known ahead: the bodies have several sizes, from 4 MB up. The page allows 32 MB.
-	smallest, step = 4 << 20, 256 << 10
-	deadline       = 2 * time.Second // of the class waitlist-join, and of each request
+	deadline = 6 * time.Second // of the class place-accept, and of each request
 	// slack is the page's half second after a request's time, within which its answer only earns nothing, and the 50 ms
 	// of sockets.
-	slack    = 550 * time.Millisecond
-	requests = 10
-	servers  = 4
-	hung     = 2 // of the servers
+	slack   = 550 * time.Millisecond
+	perForm = 3 // requests
+	servers = 3
+
+	// A slow answer has this many bytes, and comes at 64 kB a second in pieces of pieceSize.
+	slowSize, pieceSize = 60_000, 20_000
+	pieceTime           = pieceSize * time.Second / 64_000
+	// An answer in small chunks has this many bytes, one in each chunk. It is written at once.
+	smallSize = 30_000
 )
 
+// form is a form in which the web servers answer. It is told by the request's key.
+type form struct {
+	name string
+	size int
+	// write writes an answer. With trouble false the body comes in one piece.
+	write func(c io.Writer, body []byte, trouble bool) error
+}
+
+var forms = []form{
+	{"slow", slowSize, func(c io.Writer, body []byte, trouble bool) error {
+		text := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Type: application/octet-stream\r\nContent-Length: %d\r\n\r\n", len(body))
+		if !trouble {
+			_, err := c.Write(append(text, body...))
+			return err
+		}
+		for begun := 0; begun < len(body); begun += pieceSize {
+			if begun > 0 {
+				time.Sleep(pieceTime)
+			}
+			if _, err := c.Write(append(text, body[begun:begun+pieceSize]...)); err != nil {
+				return err
+			}
+			text = nil
+		}
+		return nil
+	}},
+	{"small", smallSize, func(c io.Writer, body []byte, trouble bool) error {
+		text := bytes.NewBufferString("HTTP/1.1 200 OK\r\nContent-Type: application/octet-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+		chunk := len(body)
+		if trouble {
+			chunk = 1
+		}
+		for begun := 0; begun < len(body); begun += chunk {
+			fmt.Fprintf(text, "%x\r\n%s\r\n", chunk, body[begun:begun+chunk])
+		}
+		text.WriteString("0\r\n\r\n")
+		_, err := c.Write(text.Bytes())
+		return err
+	}},
+}
+
 var record *rig.Record
 
 func main() {
@@ -37,104 +82,113 @@
 	var list []rig.Server
 	for i := range servers {
 		id := fmt.Sprintf("s-%d", i+1)
-		list = append(list, rig.Server{ID: id, Addr: webServer(id, rig.Trouble() && i < hung), Zone: "austin-dc1", Kind: "std-2c", Cell: 1, State: "Ready", Weight: 1})
+		list = append(list, rig.Server{ID: id, Addr: webServer(id), Zone: "austin-dc1", Kind: "std-2c", Cell: 1, State: "Ready", Weight: 1})
 	}
-	n := rig.StartNode(record, "n1", rig.Discovery(list), list, rig.Austin(rig.AustinClasses()))
-	var wg sync.WaitGroup
-	var mu sync.Mutex
+	discovery := rig.Discovery(list)
 	var lost []string
-	taken := 0
-	for i := range requests {
-		wg.Go(func() {
-			whole, text := client(n, i)
-			mu.Lock()
-			defer mu.Unlock()
-			if whole {
-				taken++
-			}
-			if text != "" {
+	for _, f := range forms {
+		n := rig.StartNode(record, "n-"+f.name, discovery, list, rig.Austin(rig.AustinClasses())) // one that has seen no trouble yet
+		for i := range perForm {
+			if text := client(n, f, i); text != "" {
 				lost = append(lost, text)
 			}
-		})
-		time.Sleep(20 * time.Millisecond)
+			time.Sleep(300 * time.Millisecond)
+		}
 	}
-	wg.Wait()
 	rig.StopNodes()
 	if len(lost) > 0 {
 		for _, text := range lost {
 			record.Say("lost: %s", text)
 		}
-		record.Say("BROKEN: requests that the node had taken whole got no answer in their time")
+		record.Say("BROKEN: the answers that web servers gave were cut off")
 		os.Exit(1)
 	}
-	if taken == 0 {
-		rig.Skip("no request was written whole")
-	}
 	record.Say("held")
 }
 
-func client(n *rig.Node, i int) (whole bool, lost string) {
-	size := smallest + i*step
+// answerTo returns the body of a web server's answer to a request.
+func answerTo(id string, size int) []byte {
+	return bytes.Repeat([]byte("accepted "+id+"\n"), size)[:size]
+}
+
+// client sends one place-accept and returns what is wrong with its answer, empty for nothing.
+func client(n *rig.Node, f form, i int) string {
 	conn, err := net.Dial("tcp", n.Addr)
 	if err != nil {
 		rig.Skip("connect: %v", err)
 	}
 	defer conn.Close()
-	r := &rig.Request{ID: fmt.Sprintf("r-%d-%d", i, time.Now().UnixNano()), Class: "waitlist-join", Key: fmt.Sprintf("key-%d-%d", i, time.Now().UnixNano()),
-		Deadline: deadline, Body: make([]byte, size)}
-	begun := time.Now()
-	record.Add("client begins %s, a waitlist-join of %d bytes with a deadline of %v", r.ID, size, deadline)
-	conn.SetWriteDeadline(begun.Add(5 * time.Second))
-	_, err = io.WriteString(conn, r.Head())
-	if err == nil {
-		_, err = conn.Write(r.Body)
-	}
-	if err != nil {
-		record.Say("client: %s was not written whole: %v", r.ID, err)
-		return false, ""
+	now := time.Now().UnixNano()
+	r := &rig.Request{ID: fmt.Sprintf("r-%s-%d-%d", f.name, i, now), Class: "place-accept", Key: fmt.Sprintf("%s-key-%d", f.name, now),
+		Deadline: deadline, Body: []byte(`{"place":"toddler"}`)}
+	if _, err := io.WriteString(conn, r.Head()+string(r.Body)); err != nil {
+		rig.Skip("send: %v", err)
 	}
 	sent := time.Now()
-	record.Say("client has written the last byte of %s after %.3f s", r.ID, sent.Sub(begun).Seconds())
+	record.Add("client sends %s, a place-accept with a deadline of %v", r.ID, deadline)
 	conn.SetReadDeadline(sent.Add(deadline + slack))
-	in := bufio.NewReader(conn)
-	answer := rig.Receive(in)
-	record.Say("client: %s, %.2f s after its last byte: %v", r.ID, answer.At.Sub(sent).Seconds(), answer)
-	if answer.Err != nil {
-		lost = fmt.Sprintf("%s: %v, %.2f s after its last byte", r.ID, answer, answer.At.Sub(sent).Seconds())
-		conn.SetReadDeadline(sent.Add(15 * time.Second))
-		late := rig.Receive(in)
-		record.Say("client: %s, %.2f s after its last byte: %v", r.ID, late.At.Sub(sent).Seconds(), late)
+	answer := rig.Receive(bufio.NewReader(conn))
+	after := answer.At.Sub(sent).Seconds()
+	given := given(r.ID)
+	record.Say("client: %s after %.2f s: %v; web servers gave an answer to it %d times", r.ID, after, answer, given)
+	if answer.Err == nil && answer.Status == 200 && bytes.Equal(answer.Body, answerTo(r.ID, f.size)) {
+		return ""
 	}
-	return true, lost
+	return fmt.Sprintf("%s: %v after %.2f s, though web servers gave it a 200 %d times", r.ID, answer, after, given)
+}
+
+var (
+	mu    sync.Mutex
+	begun = map[string]int{} // answers that were begun, by request
+)
+
+func given(id string) int {
+	mu.Lock()
+	defer mu.Unlock()
+	return begun[id]
 }
 
-// webServer starts a web server, and returns its address. One that hangs accepts connections and reads nothing.
-func webServer(id string, hangs bool) string {
+// webServer starts a web server, and returns its address.
+func webServer(id string) string {
 	ln := rig.Listen()
-	if hangs {
-		go func() {
-			var open []net.Conn
-			for {
-				c, err := ln.Accept()
-				if err != nil {
-					return
-				}
-				open = append(open, c) // one that is collected would be closed
-				record.Add("%s, which hangs, has a connection from %v", id, c.RemoteAddr())
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
 			}
-		}()
-		return ln.Addr().String()
-	}
-	go http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		requestID := r.Header.Get("X-Request-Id")
-		n, err := io.Copy(io.Discard, r.Body)
-		record.Add("%s got %d bytes of %s: %v", id, n, requestID, err)
+			go serve(id, c)
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// serve answers the requests on one connection.
+func serve(id string, c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(in)
 		if err != nil {
 			return
 		}
-		record.Add("%s runs %s", id, requestID)
-		time.Sleep(100 * time.Millisecond)
-		fmt.Fprintf(w, "joined: %s\n", requestID)
-	}))
-	return ln.Addr().String()
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		requestID := req.Header.Get("X-Request-Id")
+		for _, f := range forms {
+			if !strings.HasPrefix(req.Header.Get("Idempotency-Key"), f.name) {
+				continue
+			}
+			mu.Lock()
+			begun[requestID]++
+			mu.Unlock()
+			record.Add("%s begins its answer of %d bytes to %s", id, f.size, requestID)
+			if err := f.write(c, answerTo(requestID, f.size), rig.Trouble()); err != nil {
+				record.Add("%s: the connection broke amid the answer to %s: %v", id, requestID, err)
+				return
+			}
+			record.Add("%s has written its answer to %s whole", id, requestID)
+		}
+	}
 }
