--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,7 +3,11 @@
 dir="$(cd "$(dirname "$0")" && pwd)"
 cd "$dir/../.." || exit 2
 [ -x bin/portstall ] && [ -x bin/review-2/case8 ] || exit 2
-timeout 118 bin/review-2/case8 "$dir"
+timeout 118 bin/review-2/case8 "$dir" &
+pid=$!
+trap 'kill "$pid" 2>/dev/null' TERM INT
+wait "$pid"
 status=$?
+wait "$pid" 2>/dev/null # a signal ends the first wait early
 [ "$status" -le 1 ] || status=2
 exit "$status"
--- a/review/standin-2/rig/rig.go
+++ b/review/standin-2/rig/rig.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strconv"
@@ -62,9 +63,40 @@
 // Fatal ends a case that can't run.
 func Fatal(err error) {
 	fmt.Fprintln(os.Stderr, "case can't run:", err)
+	cleanUp()
 	os.Exit(NotRun)
 }
 
+// started are the nodes whose processes and folders are still there.
+var started struct {
+	sync.Mutex
+	nodes []*Node
+}
+
+// cleanUp kills the nodes that still run and removes their folders.
+func cleanUp() {
+	started.Lock()
+	defer started.Unlock()
+	for _, n := range started.nodes {
+		if n.Cmd != nil && n.Cmd.Process != nil {
+			n.Cmd.Process.Kill()
+			<-n.done
+		}
+		os.RemoveAll(n.Dir)
+	}
+	started.nodes = nil
+}
+
+// init lets a case that is ended from outside leave nothing behind.
+func init() {
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-ended
+		Fatal(errors.New("ended from outside"))
+	}()
+}
+
 // FreeAddr returns a free loopback address.
 func FreeAddr() string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -127,6 +159,9 @@
 		Fatal(err)
 	}
 	n := &Node{Dir: dir, Listen: FreeAddr(), Mgmt: FreeAddr(), rec: rec}
+	started.Lock()
+	started.nodes = append(started.nodes, n)
+	started.Unlock()
 	n.Config = map[string]any{"name": "n1", "listen": n.Listen, "discovery": discovery, "mgmt": n.Mgmt, "seed": "8c1f30d27a5be964",
 		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known, "settings": settings}
 	n.WriteConfig()
@@ -170,10 +205,10 @@
 	n.Cmd.Env = append(n.Cmd.Env, env...)
 	n.Cmd.Stdout, n.Cmd.Stderr = n.log, n.log
 	n.Cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	n.done = make(chan struct{})
 	if err := n.Cmd.Start(); err != nil {
 		Fatal(err)
 	}
-	n.done = make(chan struct{})
 	go func() { n.Cmd.Wait(); close(n.done) }()
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		resp, err := http.Get("http://" + n.Listen + "/ready")
@@ -214,6 +249,7 @@
 	n.Cmd.Process.Kill()
 	<-n.done
 	n.log.Close()
+	defer cleanUp()
 	if f, err := os.Open(filepath.Join(n.Dir, "node.log")); err == nil {
 		n.rec.mu.Lock()
 		fmt.Fprintln(n.rec.file, "--- the node's log, at most 200 kB")
@@ -221,7 +257,6 @@
 		n.rec.mu.Unlock()
 		f.Close()
 	}
-	os.RemoveAll(n.Dir)
 }
 
 // Entry is a web server in discovery's list.
