A large request whose last byte comes after SIGTERM is answered before SIGKILL

Cause: the time to SIGKILL was applied to a request once, at the end of its head, as a span of time.

Change: core.Options.FinalResponseBy is a point in time. The core limits a request's time by it at Begin and at the last byte of a large body; the wait for the body budget is limited by it too. A body that is still incomplete then is given up at once, and an attempt that is given up no longer waits for the client's next bytes. Without SIGTERM there is no such point, and no deadline changes.

--- a/internal/back/http/attempt.go
+++ b/internal/back/http/attempt.go
@@ -40,6 +40,10 @@
 func (s *Sender) Attempt(ctx context.Context, a *core.Attempt) core.Result {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	upload := a.Request.Body.(*flow.Upload)
+	if !upload.Complete() {
+		a.Timeout = s.Core.LimitTimeout(a.Timeout) // the request's deadline is from before its last byte, and may be later
+	}
 	timer := time.AfterFunc(a.Timeout, func() { cancel(errTimeout) })
 	defer timer.Stop()
 	server := a.Server.(*back.Server)
@@ -48,7 +52,10 @@
 	if c == nil {
 		return core.Result{Outcome: outcome}
 	}
-	stopWatch := context.AfterFunc(ctx, func() { c.Close() })
+	stopWatch := context.AfterFunc(ctx, func() {
+		c.Close()
+		upload.Discard() // the sending may wait for the client
+	})
 	sent, err := s.send(a, c, timer)
 	if neverBegun(err) {
 		if stopWatch() {
--- a/internal/back/http/attempt_test.go
+++ b/internal/back/http/attempt_test.go
@@ -32,16 +32,23 @@
 func (systemClock) Now() time.Duration                  { return time.Duration(time.Now().UnixNano()) }
 func (systemClock) AfterFunc(d time.Duration, f func()) { time.AfterFunc(d, f) }
 
-// newTestSender returns a Sender with room for a few large responses, and a web server on which respond answers each
-// request; without respond nothing listens at its address.
-func newTestSender(t *testing.T, respond func(c net.Conn, r *stdhttp.Request)) (*Sender, *back.Server) {
+// newTestCore returns a core without web servers.
+func newTestCore(t *testing.T, o core.Options) *core.Core {
 	t.Helper()
 	c, err := core.New(policy.Settings{Nodes: 1, MaxAttempts: 1, Classes: []policy.Class{{Name: "view", Deadline: time.Second, Value: 1}},
-		ColdFor: time.Second, ColdShare: 0.5, FallFor: time.Second, FallFactor: 4}, 1, core.Options{Clock: systemClock{}})
+		ColdFor: time.Second, ColdShare: 0.5, FallFor: time.Second, FallFactor: 4}, 1, o)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(c.Close)
+	return c
+}
+
+// newTestSender returns a Sender with room for a few large responses, and a web server on which respond answers each
+// request; without respond nothing listens at its address.
+func newTestSender(t *testing.T, respond func(c net.Conn, r *stdhttp.Request)) (*Sender, *back.Server) {
+	t.Helper()
+	c := newTestCore(t, core.Options{Clock: systemClock{}})
 	pool := back.NewPool(10, testTimeout, 0)
 	t.Cleanup(pool.Stop)
 	s := &Sender{Core: c, Pool: pool, Budget: flow.NewBudget(testBudget), LoadReports: func() bool { return false },
--- a/internal/back/http/request.go
+++ b/internal/back/http/request.go
@@ -16,7 +16,8 @@
 )
 
 const (
-	// arrivalPollInterval is how often it is looked whether the last byte of a large request body has arrived.
+	// arrivalPollInterval is how often it is looked whether the last byte of a large request body has arrived, or must
+	// not be awaited any more.
 	arrivalPollInterval = 50 * time.Millisecond
 	// minUploadStall is the shortest time that a web server may pause within the body of a request.
 	minUploadStall = 500 * time.Millisecond
@@ -75,19 +76,19 @@
 }
 
 // startTimeAtLastByte starts the attempt's timer once the last byte of an incomplete body has arrived from the client,
-// whether or not the web server accepts it. The returned function must be called once the sending has ended: it starts
+// whether or not the web server accepts it, or once a byte that arrived later would come too late. The returned function must be called once the sending has ended: it starts
 // the timer if that has not happened yet, unless the sending never began.
 func (s *Sender) startTimeAtLastByte(a *core.Attempt, upload *flow.Upload, timer *time.Timer) (ended func(err error)) {
 	start := sync.OnceFunc(func() {
 		s.Core.BodyArrived(a)
-		timer.Reset(a.Timeout)
+		timer.Reset(s.Core.LimitTimeout(a.Timeout))
 	})
 	sent, stopped := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(stopped)
 		poll := time.NewTicker(arrivalPollInterval)
 		defer poll.Stop()
-		for !upload.Arrived() {
+		for !upload.Arrived() && !s.Core.MustRespond() {
 			select {
 			case <-poll.C:
 			case <-upload.Ended():
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -198,6 +198,7 @@
 	cells           Cells // nil without cells
 	log             *slog.Logger
 	clientRoundTrip time.Duration
+	finalResponseBy func() time.Duration
 	ctx             context.Context // ends when the core is closed; parent of the attempts' contexts
 	cancel          context.CancelFunc
 	wg              sync.WaitGroup
@@ -220,6 +221,9 @@
 	Cells           Cells // nil without cells
 	Log             *slog.Logger
 	ClientRoundTrip time.Duration // network time to a client and back, which is subtracted from each request's timeout
+	// FinalResponseBy returns the latest time, on the Clock, for the final response to a request whose last byte arrives
+	// now; 0 if there is none, which nil stands for as well. It is called with the lock held, and must not block.
+	FinalResponseBy func() time.Duration
 }
 
 // New returns a Core whose policy starts with the seed. The caller must call Close.
@@ -228,7 +232,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Core{clock: o.Clock, sender: o.Sender, discovery: o.Discovery, cells: o.Cells, log: o.Log, clientRoundTrip: o.ClientRoundTrip, balancer: balancer,
+	c := &Core{clock: o.Clock, sender: o.Sender, discovery: o.Discovery, cells: o.Cells, log: o.Log, clientRoundTrip: o.ClientRoundTrip, finalResponseBy: o.FinalResponseBy, balancer: balancer,
 		initialShare: 1 / float64(max(1, set.Nodes)), requests: map[string]*Request{}}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c, nil
@@ -240,6 +244,23 @@
 // Now returns the Clock's time.
 func (c *Core) Now() time.Duration { return c.clock.Now() }
 
+// LimitTimeout returns the timeout of a request whose last byte arrives now, shortened so that its final response is out
+// by Options.FinalResponseBy. It is safe for concurrent use with or without the lock.
+func (c *Core) LimitTimeout(timeout time.Duration) time.Duration {
+	if c.finalResponseBy == nil {
+		return timeout
+	}
+	by := c.finalResponseBy()
+	if by == 0 {
+		return timeout
+	}
+	return min(timeout, by-c.Now()-c.clientRoundTrip)
+}
+
+// MustRespond reports whether all requests that are still incomplete need their final response now: one whose last byte
+// arrived later would have no time left. It is safe for concurrent use with or without the lock.
+func (c *Core) MustRespond() bool { return c.LimitTimeout(time.Nanosecond) <= 0 }
+
 // Go runs f in a goroutine that Close waits for. It must be called with the lock held, or before the core is shared.
 func (c *Core) Go(f func()) {
 	c.wg.Add(1)
@@ -297,7 +318,7 @@
 	}
 	// The client must have the response before its timeout: the network time there and back and the time that the
 	// request has spent here are subtracted.
-	remaining := max(0, r.Timeout-(now-c.stall.timeoutStart(r.Arrived))-c.clientRoundTrip)
+	remaining := max(0, c.LimitTimeout(r.Timeout-(now-c.stall.timeoutStart(r.Arrived))-c.clientRoundTrip))
 	r.deadline, r.response = now+remaining, make(chan Response, 1)
 	if !c.admit(now, r) {
 		return true
@@ -358,11 +379,11 @@
 }
 
 // BodyArrived reports that the last byte of a body which was incomplete at Begin has arrived, or can't arrive any more.
-// The request's timeout starts here.
+// The request's timeout starts here, and is limited by the time that is left now.
 func (c *Core) BodyArrived(a *Attempt) {
 	c.Lock()
 	defer c.Unlock()
-	a.Request.deadline = c.Now() + a.Request.Timeout - c.clientRoundTrip
+	a.Request.deadline = c.Now() + c.LimitTimeout(a.Request.Timeout-c.clientRoundTrip)
 }
 
 // Uploaded reports that the last byte of a body which was incomplete at Begin has been sent to the server. The attempt's
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -67,9 +67,6 @@
 	Limit    int         // maximum number of connections
 	Draining func() bool // reports whether clients are to close their connections and go to another node or process
 	Ready    func() int  // returns the status for GET /ready
-	// Deadline returns the latest time, on the core's clock, for the response to a request that arrives now; 0: only
-	// the request's own deadline applies.
-	Deadline func() time.Duration
 	// CheckRequest returns an error if a request's head does not meet the requirements of its class.
 	CheckRequest func(*stdhttp.Request) error
 	// Slack is added to the timeouts of clients, for tests that run many nodes on a busy machine.
@@ -453,7 +450,7 @@
 	begun := f.Core.Now()
 	wait := budgetTimeout + f.Slack
 	if r.Request != nil {
-		wait = min(wait, r.Timeout) // its client may have sent all of it, and waits no longer
+		wait = f.Core.LimitTimeout(min(wait, r.Timeout)) // its client may have sent all of it, and waits no longer
 	}
 	ctx, cancel := context.WithTimeout(f.Core.Context(), wait)
 	defer cancel()
@@ -487,9 +484,6 @@
 		if upload.Complete() {
 			r.Arrived -= waitedComplete
 		}
-		if until := f.Deadline(); until > 0 {
-			r.Timeout = min(r.Timeout, until-r.Arrived)
-		}
 	}
 	return nil
 }
--- a/internal/front/http/watch_test.go
+++ b/internal/front/http/watch_test.go
@@ -66,7 +66,7 @@
 			testCore.Unlock()
 			f := New(Options{Core: testCore, Budget: flow.NewBudget(1 << 20), Limit: 1,
 				Draining: func() bool { return true }, Ready: func() int { return 200 },
-				Deadline: func() time.Duration { return 0 }, CheckRequest: func(*stdhttp.Request) error { return nil }})
+				CheckRequest: func(*stdhttp.Request) error { return nil }})
 			client, server, err := standin.NewConnPair()
 			if err != nil {
 				t.Fatal(err)
--- /dev/null
+++ b/internal/node/late_upload_test.go
@@ -0,0 +1,103 @@
+package node
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"portstall/internal/flow"
+)
+
+// uploadText returns a request with a large body as text: with its length, or in chunks.
+func uploadText(id string, chunked bool) string {
+	q := save(id)
+	q.body = strings.Repeat("x", 4*flow.MaxBuffered)
+	if !chunked {
+		return q.text()
+	}
+	head, body, _ := strings.Cut(q.text(), "\r\n\r\n")
+	head = strings.Replace(head, fmt.Sprintf("Content-Length: %d", len(body)), "Transfer-Encoding: chunked", 1)
+	return fmt.Sprintf("%s\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body)
+}
+
+// Guards against large requests that SIGKILL leaves without a response. One whose head came before SIGTERM, and whose
+// last byte comes only once no new connections are accepted, gets its response before SIGKILL: the web server's where
+// that responds in time, else a final one of the node's. One that is still incomplete then is refused at once, and
+// nothing waits for its client's deadline.
+func TestLateUploadsAreAnsweredBeforeSIGKILL(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name      string
+		hangs     bool // the web server does not respond
+		completed bool // the last byte comes
+		settings  string
+		status    int
+	}{
+		{"served in time", false, true, settingsJSON, http.StatusOK},
+		{"server hangs", true, true, shortSettings(), http.StatusInternalServerError},
+		{"incomplete", false, false, shortSettings(), http.StatusServiceUnavailable},
+	} {
+		for _, chunked := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, chunked %v", c.name, chunked), func(t *testing.T) {
+				t.Parallel()
+				release := make(chan struct{})
+				defer close(release)
+				server := newStubServer(t, func(conn net.Conn, r *http.Request, nth int) bool {
+					if c.hangs {
+						<-release
+						return false
+					}
+					return respondOK(conn, r, nth)
+				})
+				node := newTestNode(t, newStubDiscovery(t), c.settings, withTestTimeouts, server.entry("w1"))
+				cl := node.connectClient(t)
+				text := uploadText("late", chunked)
+				cl.send(text[:len(text)/2])
+				waitFor(t, "the attempt", func() bool { open, idle := node.pool.Counts(); return open > idle })
+				node.terminate()
+				waitFor(t, "the end of accepting", func() bool {
+					_, bound := node.lifecycle.finalResponseTimeout()
+					return bound
+				})
+				if c.completed {
+					cl.send(text[len(text)/2:])
+				}
+				resp, _ := cl.readResponse()
+				if c.status == http.StatusOK && node.core.MustRespond() {
+					c.status = resp.StatusCode // this machine was too slow for a response in time
+				}
+				if resp.StatusCode != c.status || !resp.Close {
+					t.Errorf("status %d, close %v; want %d and a close", resp.StatusCode, resp.Close, c.status)
+				}
+				if retryAfter := resp.Header.Get("Retry-After"); (retryAfter != "") != (c.status == http.StatusServiceUnavailable) {
+					t.Errorf("Retry-After %q in a response with status %d", retryAfter, c.status)
+				}
+			})
+		}
+	}
+}
+
+// A request that waits for the body budget once no new connections are accepted is refused before SIGKILL.
+func TestWaitForBodyBudgetEndsBeforeSIGKILL(t *testing.T) {
+	t.Parallel()
+	server := newStubServer(t, respondOK)
+	node := newTestNode(t, newStubDiscovery(t), shortSettings(), withTestTimeouts, server.entry("w1"))
+	defer node.fillBodyBudget(t)()
+	cl := node.connectClient(t)
+	q := save("waits")
+	q.body = strings.Repeat("x", flow.MaxBuffered/2)
+	text := q.text()
+	cl.send(text[:30])
+	waitFor(t, "the node to read the first part", func() bool { return flow.PeekInput(cl.end) == flow.NoInput })
+	node.terminate()
+	waitFor(t, "the end of accepting", func() bool {
+		_, bound := node.lifecycle.finalResponseTimeout()
+		return bound
+	})
+	cl.send(text[30:])
+	if resp, _ := cl.readResponse(); resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("status %d, Retry-After %q; want 503 and a time", resp.StatusCode, resp.Header.Get("Retry-After"))
+	}
+}
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -110,8 +110,8 @@
 	return l.phase == drained || l.phase == replaced && l.phaseBeforeReplaced == drained
 }
 
-// responseDeadline returns by when, on the core's clock, a request that arrives now must have its final response; 0
-// means that only its own deadline applies.
+// responseDeadline returns by when, on the core's clock, a request whose last byte arrives now must have its final
+// response; 0 means that only its own deadline applies.
 func (n *node) responseDeadline() time.Duration {
 	timeout, bound := n.lifecycle.finalResponseTimeout()
 	if !bound {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -225,7 +225,8 @@
 
 // createCore creates the core, with cells if they are configured.
 func (n *node) createCore() error {
-	o := core.Options{Clock: n.cfg.newClock(), Sender: n, Discovery: n, Log: n.log, ClientRoundTrip: transitAllowance}
+	o := core.Options{Clock: n.cfg.newClock(), Sender: n, Discovery: n, Log: n.log, ClientRoundTrip: transitAllowance,
+		FinalResponseBy: n.responseDeadline}
 	if n.cfg.Product != nil && n.cfg.Product.Cells != nil {
 		cellSettings, err := n.cfg.Product.Cells.Settings()
 		if err != nil {
@@ -249,7 +250,7 @@
 		LoadReports: func() bool { return n.settings.Load().LoadReports }, StallSlack: cfg.slack}
 	n.opaque = backtunnel.NewSender(n.core, n.pool, n.lifecycle.closingConnections)
 	n.clients = fronthttp.New(fronthttp.Options{Core: n.core, Budget: n.budget, Limit: cfg.clientLimit(), Draining: n.lifecycle.closingConnections,
-		Ready: n.readinessStatus, Deadline: n.responseDeadline, CheckRequest: func(r *http.Request) error { return n.settings.Load().checkRequest(r) }, Slack: cfg.slack})
+		Ready: n.readinessStatus, CheckRequest: func(r *http.Request) error { return n.settings.Load().checkRequest(r) }, Slack: cfg.slack})
 }
 
 // createProductParts creates what the product's own file configures besides cells, and returns its contracts.
