Retries stay in the group where a request may have run, whatever lists say later

Cause: a request that may have run asked the server of that attempt for its zone and cell at each retry.

Change: an attempt records the location of its server at the send, and the request goes by that of its first attempt that may have run.

--- a/policy/admission.go
+++ b/policy/admission.go
@@ -35,7 +35,7 @@
 	if len(r.attempts) >= min(r.maxAttempts, b.settings.MaxAttempts) || now >= r.usefulUntil || b.Retries < 1 {
 		return false
 	}
-	return r.mayHaveRunOn == nil || c.Effect == Safe || c.Effect == Keyed && now < r.repeatWindowEnd()
+	return !r.mayHaveRun || c.Effect == Safe || c.Effect == Keyed && now < r.repeatWindowEnd()
 }
 
 // repeatWindowEnd returns the time until which a keyed request may be sent again. The window begins at the send,
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -290,14 +290,14 @@
 
 // send starts an attempt of a request at a server.
 func (b *Balancer) send(now float64, r *request, s *server) {
-	r.attempts = append(r.attempts, attempt{s, true, b.estimateOccupancy(s, now) + 1, now})
+	r.attempts = append(r.attempts, attempt{s, location{s.Zone, s.Cell}, true, b.estimateOccupancy(s, now) + 1, now})
 	r.pending++
 	s.localInFlight++
 	until := r.expiresAt // if it ended at its target latency, the client would send a retry that has no value
 	if s.Mode != normal {
 		until = r.usefulUntil // in this mode it mostly waits, and keeps others from being in time
 	}
-	if r.mayHaveRunOn != nil && r.class.Effect == Keyed {
+	if r.mayHaveRun && r.class.Effect == Keyed {
 		until = min(until, r.repeatWindowEnd()) // a connection that is established later would carry it past its window
 	}
 	b.emit(Action{Kind: ActSend, ID: r.id, Server: s.ID, Wait: duration(max(until-now, 1e-6))})
@@ -314,7 +314,7 @@
 func (b *Balancer) finish(now float64, r *request) {
 	b.release(r) // no attempt is pending: no further event concerns it
 	c := r.class
-	if r.mayHaveRunOn != nil && (c.Effect == Unsafe || c.Effect == Keyed && c.Group != GroupAll) {
+	if r.mayHaveRun && (c.Effect == Unsafe || c.Effect == Keyed && c.Group != GroupAll) {
 		b.emit(Action{Kind: ActFail, ID: r.id}) // it may have run: a refusal would wrongly state that it did not
 		return
 	}
@@ -332,8 +332,9 @@
 	if r == nil || ev.Attempt < 0 || ev.Attempt >= len(r.attempts) || !r.attempts[ev.Attempt].pending {
 		return
 	}
-	s := r.attempts[ev.Attempt].server
-	r.attempts[ev.Attempt].pending = false
+	a := &r.attempts[ev.Attempt]
+	s := a.server
+	a.pending = false
 	r.pending--
 	b.recordOutcome(now, s, r, ev)
 	r.finished = r.finished || ev.Final
@@ -343,8 +344,8 @@
 		}
 		return
 	}
-	if r.mayHaveRunOn == nil && ev.Outcome != QueueFull && ev.Outcome != ConnectFailed && ev.Outcome != NeverSent {
-		r.mayHaveRunOn, r.mayHaveRunAt = s, r.attempts[ev.Attempt].sentAt
+	if !r.mayHaveRun && ev.Outcome != QueueFull && ev.Outcome != ConnectFailed && ev.Outcome != NeverSent {
+		r.mayHaveRun, r.mayHaveRunIn, r.mayHaveRunAt = true, a.location, a.sentAt
 	}
 	r.lastTried = s
 	if !ev.BodySpent && b.canRetry(now, r) && b.dispatch(now, r) {
--- a/policy/selection.go
+++ b/policy/selection.go
@@ -22,9 +22,7 @@
 	if now < s.EjectedUntil || s.Trial && s.localInFlight > 0 || s == r.lastTried {
 		return false
 	}
-	m, g := r.mayHaveRunOn, r.class.Group
-	return m == nil || r.class.Effect != Keyed ||
-		(g != GroupZone || s.Zone == m.Zone) && (g != GroupCell || s.Cell == m.Cell)
+	return !r.mayHaveRun || r.class.Effect != Keyed || r.mayHaveRunIn.sharesKeys(r.class, s)
 }
 
 // selectServer selects a server in the given mode or a better one at random, with weights that fall with the expected
@@ -121,12 +119,12 @@
 		}
 		return b.candidateBuffer
 	}
-	if m := r.mayHaveRunOn; m != nil && r.class.Effect == Keyed && len(b.sorted) > maxFullScan {
+	if r.mayHaveRun && r.class.Effect == Keyed && len(b.sorted) > maxFullScan {
 		switch r.class.Group {
 		case GroupZone:
-			return b.byZone[m.Zone]
+			return b.byZone[r.mayHaveRunIn.zone]
 		case GroupCell:
-			return b.byCell[m.Cell]
+			return b.byCell[r.mayHaveRunIn.cell]
 		}
 	}
 	return b.sorted
--- a/policy/state.go
+++ b/policy/state.go
@@ -15,11 +15,23 @@
 	arrivals, arrivalRate float64 // requests since the latest refresh; recent rate per second
 }
 
+// location is the zone and the cell of a server.
+type location struct {
+	zone string
+	cell int64
+}
+
+// sharesKeys reports whether a server drops repeats of requests of a class that ran in the location.
+func (l location) sharesKeys(c *classState, s *server) bool {
+	return (c.Group != GroupZone || s.Zone == l.zone) && (c.Group != GroupCell || s.Cell == l.cell)
+}
+
 // attempt is one attempt of a request.
 type attempt struct {
 	server            *server
-	pending           bool    // has no outcome yet
-	occupancy, sentAt float64 // occupancy plus one of the server at the send; time of the send
+	location          location // of the server at the send: later lists may not have it, or have it elsewhere
+	pending           bool     // has no outcome yet
+	occupancy, sentAt float64  // occupancy plus one of the server at the send; time of the send
 }
 
 // request is a request without a final response, or with a pending attempt.
@@ -31,9 +43,10 @@
 	expiresAt, usefulUntil float64  // when the client stops waiting; when its response loses all value
 	pending, maxAttempts   int      // attempts without an outcome; limit on attempts when the request arrived
 	attempts               []attempt
-	finished               bool    // the client has its final response or has disconnected; nothing more may be sent
-	mayHaveRunOn           *server // server of the first attempt that may have run
-	mayHaveRunAt           float64 // send time of that attempt
+	finished               bool // the client has its final response or has disconnected; nothing more may be sent
+	mayHaveRun             bool // an attempt may have run; the first of them was sent to this location at this time
+	mayHaveRunIn           location
+	mayHaveRunAt           float64
 	lastTried              *server // server of the latest attempt: not used twice in a row
 }
 
