A reload asks for the keys that the protocol requires, not for those of the old file

Only names were compared: max_attempts null passed and left one attempt.

One that the file in force has, in the element of the same name or for a new element in all of them, may not be missing, null or of another type. Optional and unknown keys are not looked at.

--- a/cmd/portstall/config.go
+++ b/cmd/portstall/config.go
@@ -23,40 +23,64 @@
 
 // configCheckCmd is the config check command.
 type configCheckCmd struct {
-	File string `arg:"" help:"A node's JSON configuration, the product's YAML file, a scenario or experiment of the lab in YAML, or a folder of YAML files for a control process."`
+	Replaces string `placeholder:"FILE" help:"Check a node's JSON configuration as a node does at SIGHUP that has FILE in force."`
+	File     string `arg:"" help:"A node's JSON configuration, the product's YAML file, a scenario or experiment of the lab in YAML, or a folder of YAML files for a control process."`
 }
 
-// Run checks the file by the parser for its type and prints that it is good.
+// Run checks the file against the one that it replaces, or by the parser for its type, and prints that it is good.
 func (c configCheckCmd) Run() error {
-	check := checkNodeConfig
-	if ext := filepath.Ext(c.File); ext == ".yaml" || ext == ".yml" {
-		check = checkYAML
-	}
-	if info, err := os.Stat(c.File); err == nil && info.IsDir() {
-		check = checkFolder
-	}
-	if err := check(c.File); err != nil {
+	if err := c.check(); err != nil {
 		return usageError{err}
 	}
 	fmt.Println(c.File + ": good")
 	return nil
 }
 
+// check returns what is wrong with the file.
+func (c configCheckCmd) check() error {
+	if c.Replaces != "" {
+		return checkReplacement(c.Replaces, c.File)
+	}
+	if info, err := os.Stat(c.File); err == nil && info.IsDir() {
+		return checkFolder(c.File)
+	}
+	if ext := filepath.Ext(c.File); ext == ".yaml" || ext == ".yml" {
+		return checkYAML(c.File)
+	}
+	return checkNodeConfig(c.File)
+}
+
 // checkFolder checks a folder of files as a control process in the role of writer reads it.
 func checkFolder(path string) error {
 	_, err := control.CheckFiles(path)
 	return err
 }
 
-// checkNodeConfig checks a node's configuration as a node reads it at start, without the environment variables that
-// override it. Where the JSON decoder reports an offset, the error names the line.
-func checkNodeConfig(path string) error {
-	_, err := node.Load(func(name string) string {
+// onlyConfig is the environment of a node that names its configuration file and nothing else.
+func onlyConfig(path string) func(string) string {
+	return func(name string) string {
 		if name == "GW_CONFIG" {
 			return path
 		}
 		return ""
-	})
+	}
+}
+
+// checkNodeConfig checks a node's configuration as a node reads it at start, without the environment variables that
+// override it.
+func checkNodeConfig(path string) error {
+	_, err := node.Load(onlyConfig(path))
+	return locateError(path, err)
+}
+
+// checkReplacement checks a node's configuration as a node reads it at SIGHUP, without those variables.
+func checkReplacement(inForce, path string) error {
+	return locateError(path, node.CheckReplacement(onlyConfig(inForce), onlyConfig(path)))
+}
+
+// locateError adds the path to an error about a node's configuration, and the line where the JSON decoder reports an
+// offset.
+func locateError(path string, err error) error {
 	if err == nil {
 		return nil
 	}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -34,7 +34,7 @@
 	Settings  wire.Settings
 	Product   *config.File // the product's own file; nil where none is named, as on the platform
 
-	// rawFile is the parsed file itself. A file that replaces it must have the same keys.
+	// rawFile is the parsed file itself. A file that replaces it must have the same required keys.
 	rawFile map[string]any
 	// ownsProcess is set where the process runs this node alone, so that the process's limits are the node's. Tests run
 	// many nodes in one process.
@@ -147,6 +147,17 @@
 // overrides the file. An error names the field at fault, on one line.
 func Load(getenv func(string) string) (Config, error) { return load(getenv, nil) }
 
+// CheckReplacement checks the configuration that next gives against the one that current gives, as a reload does. An error
+// about the current configuration says so.
+func CheckReplacement(current, next func(string) string) error {
+	inForce, err := Load(current)
+	if err != nil {
+		return fmt.Errorf("the configuration to replace: %v", err) // not wrapped: positions in it are not those of next
+	}
+	_, err = Reload(next, inForce)
+	return err
+}
+
 // Reload reads the configuration again, to replace the one in force. The file's discovery address now overrides
 // GW_DISCOVERY, which applies to the start. After an error the configuration in force stays.
 func Reload(getenv func(string) string, inForce Config) (Config, error) {
@@ -200,7 +211,7 @@
 		}
 	}
 	json.Unmarshal(text, &cfg.rawFile) // can't fail: the same text was decoded above
-	delete(cfg.rawFile, "known")       // used only at the start; a later file needs none
+	delete(cfg.rawFile, "known")       // used only at the start
 	if inForce != nil {
 		if err := checkReplacement(cfg.rawFile, inForce.rawFile, cfg.Settings); err != nil {
 			return Config{}, err
--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"maps"
 	"net"
 	"net/http"
@@ -106,6 +107,62 @@
 	}
 }
 
+// Files that the protocol allows replace one another, whatever optional or unknown keys they have, and with or without
+// control; broken ones change nothing. The check before a reload gives the same verdict as the reload.
+func TestReplacementFollowsProtocol(t *testing.T) {
+	t.Parallel()
+	const search, save = `{"name":"view","aim_s":30`, `{"name":"save","aim_s":30`
+	const stretched = `{"aim_stretch":2,"name":"view","aim_s":30`
+	for name, c := range map[string]struct {
+		old, new []string // old text and new text in turn
+		want     string   // text in the error; empty: none
+	}{
+		"an optional key of the first class alone": {[]string{search, stretched}, []string{search, stretched}, ""},
+		"an optional key goes":                     {[]string{search, stretched}, nil, ""},
+		"an optional key comes":                    {nil, []string{search, stretched}, ""},
+		"a class goes":                             {nil, []string{` {"name":"save","aim_s":30,"deadline_s":60,"gain":10,"effect":"guarded","group":"zone","repeat_window_s":30},`, ``}, ""},
+		"a class comes":                            {nil, []string{save, `{"name":"store","aim_s":30,"deadline_s":60,"gain":1,"effect":"free","group":"all"},` + save}, ""},
+		"unknown keys come":                        {nil, []string{`"name":"n7"`, `"name":"n7","x":1`, `"cores":1`, `"cores":1,"x":2`, `"report":{`, `"report":{"x":{},`}, ""},
+		"unknown keys go":                          {[]string{`"name":"n7"`, `"name":"n7","x":1`, `"cores":1`, `"cores":1,"x":2`, `"report":{`, `"report":{"x":{},`}, nil, ""},
+		"no list of known servers":                 {nil, []string{`"known":{"version":1,"full":true,"servers":[]},`, ``}, ""},
+		"a new class without a deadline":           {nil, []string{save, `{"name":"store","aim_s":30,"gain":1,"effect":"free","group":"all"},` + save}, "settings.grades[1].deadline_s: missing"},
+		"a misspelled key":                         {nil, []string{`"max_attempts"`, `"most_attempts"`}, "max_attempts: missing"},
+		"attempts that are null":                   {nil, []string{`"max_attempts":3`, `"max_attempts":null`}, "max_attempts: missing"},
+		"a key that the node does not use":         {nil, []string{`"names":["concurrent","depth"]`, `"x":1`}, "settings.report.names: missing"},
+		"one of another type":                      {nil, []string{`"names":["concurrent","depth"]`, `"names":"depth"`}, "settings.report.names: its type"},
+		"a limit of another type":                  {nil, []string{`"limits":{"cores":1,"memory_mb":64,"sockets":256}`, `"limits":null`}, "limits: missing"},
+	} {
+		for _, product := range []string{"", "control: {addresses: [\"127.0.0.1:9\"]}\n"} {
+			t.Run(fmt.Sprintf("%s, product's file %q", name, product), func(t *testing.T) {
+				t.Parallel()
+				folder := t.TempDir()
+				environment := func(name, text string) func(string) string {
+					env := map[string]string{"GW_CONFIG": filepath.Join(folder, name)}
+					must(t, os.WriteFile(env["GW_CONFIG"], []byte(text), 0o600))
+					if product != "" {
+						env["PORTSTALL_FILE"] = filepath.Join(folder, "product.yaml")
+						must(t, os.WriteFile(env["PORTSTALL_FILE"], []byte(product), 0o600))
+					}
+					return func(name string) string { return env[name] }
+				}
+				oldText, newText := strings.NewReplacer(c.old...).Replace(validConfigJSON), strings.NewReplacer(c.new...).Replace(validConfigJSON)
+				if len(c.old)+len(c.new) > 0 && oldText == newText && c.old == nil {
+					t.Fatal("the case changes nothing")
+				}
+				current, next := environment("old.json", oldText), environment("new.json", newText)
+				inForce, err := Load(current)
+				must(t, err)
+				if _, err := Reload(next, inForce); (err != nil) != (c.want != "") || err != nil && !strings.Contains(err.Error(), c.want) {
+					t.Errorf("reload: %v, want %q", err, c.want)
+				}
+				if err := CheckReplacement(current, next); (err != nil) != (c.want != "") || err != nil && !strings.Contains(err.Error(), c.want) {
+					t.Errorf("check: %v, want %q", err, c.want)
+				}
+			})
+		}
+	}
+}
+
 // keySet returns the keys of m.
 func keySet(m map[string]any) map[string]bool {
 	set := map[string]bool{}
