--- a/internal/back/http/pace_test.go
+++ b/internal/back/http/pace_test.go
@@ -63,9 +63,9 @@
 
 // pacedAttempt makes an attempt at a web server that writes its response in pieces, each behind the time that it takes at
 // back.MinRate, and then keeps the connection open. It must run in a synctest bubble. It returns the outcome, the body as
-// far as it came, the error that ended it, and how long the attempt and the whole body took from the first byte of the
-// response.
-func pacedAttempt(t *testing.T, pieces []string) (outcome policy.Outcome, body string, bodyErr error, held, took time.Duration) {
+// far as it came, how long the attempt and the whole body took from the first byte of the response, and the error that
+// ended the body.
+func pacedAttempt(t *testing.T, pieces []string) (outcome policy.Outcome, body string, held, took time.Duration, bodyErr error) {
 	t.Helper()
 	s, server, near, far := newPipedSender(t)
 	begun := make(chan time.Time, 1)
@@ -114,7 +114,7 @@
 	if err := s.Budget.AcquireResponse(ctx, testBudget); err != nil {
 		t.Errorf("bytes of the budget were not released: %v", err)
 	}
-	return res.Outcome, body, bodyErr, held, took
+	return res.Outcome, body, held, took, bodyErr
 }
 
 // Whole responses that come at the slowest accepted rate, in pieces cut anywhere and in any framing, are passed on whole,
@@ -158,7 +158,7 @@
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				outcome, body, err, held, took := pacedAttempt(t, c.pieces)
+				outcome, body, held, took, err := pacedAttempt(t, c.pieces)
 				if outcome != policy.OK || body != c.body || err != nil {
 					t.Errorf("outcome %d, %d bytes of %d, %v, after %v; want %d and the whole body", outcome, len(body), len(c.body), err, took, policy.OK)
 				}
@@ -189,7 +189,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				outcome, _, err, _, took := pacedAttempt(t, []string{c.text})
+				outcome, _, _, took, err := pacedAttempt(t, []string{c.text})
 				want := policy.Reset
 				if c.streamed {
 					want = policy.OK
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -78,7 +78,7 @@
 		report.InForceS = (now - st.AppliedAt).Seconds()
 	}
 	for _, r := range st.Versions {
-		report.Versions = append(report.Versions, versionReport{r.Version, r.Callers})
+		report.Versions = append(report.Versions, versionReport(r))
 	}
 	if s.writer == nil {
 		f := s.followStatus.Read()
--- a/internal/node/discovery_model_test.go
+++ b/internal/node/discovery_model_test.go
@@ -179,7 +179,6 @@
 	done         bool // it got a response, failed or timed out
 	held         bool // discovery holds it until there is a change
 	silent       bool // it gets no response
-	unused       time.Duration
 }
 
 // schedule runs a function at a time.
--- a/internal/resource/follower_test.go
+++ b/internal/resource/follower_test.go
@@ -248,7 +248,6 @@
 		t.Fatal("the busy source is called")
 	}
 	r.follower.Failed(r.now, Failure{Kind: Busy, RetryAfter: 24 * time.Hour}, 0.999)
-	start = r.now
 	c := r.nextCall()
 	if c.Source != 1 {
 		t.Fatal(c)
