--- /dev/null
+++ b/internal/front/http/serve.go
@@ -0,0 +1,179 @@
+package http
+
+import (
+	"io"
+	"net"
+	stdhttp "net/http"
+	"time"
+
+	"portstall/internal/core"
+	"portstall/internal/flow"
+	"portstall/internal/message"
+)
+
+const (
+	// lingerTimeout is how long a rejected client may take to read the reason before its connection is reset.
+	lingerTimeout = 100 * time.Millisecond
+	// overloadRetryAfter is when a client may return that found no capacity, or that disconnected before its request
+	// was sent.
+	overloadRetryAfter = 250 * time.Millisecond
+	// maxLingerBytes is how much of a rejected client's further input is read within lingerTimeout.
+	maxLingerBytes = 256 << 10
+)
+
+// request is a request that was read. core.Request is nil for GET /ready, which the front responds to itself.
+type request struct {
+	*core.Request
+	httpRequest *stdhttp.Request
+	body        *flow.Upload
+	// windowMayBeClosed is set if, after a long wait for budget, so much input was unread that a disconnect of the
+	// client may not have been visible.
+	windowMayBeClosed bool
+}
+
+// rejection is the response to input that is not passed to the core. The connection is closed after it: what follows
+// cannot be told apart from the remainder of that request.
+type rejection struct {
+	status     int
+	text       string
+	retryAfter time.Duration // when the client may try again; 0: not specified
+}
+
+// serveRequests responds to the requests of a connection, one after the other.
+func (f *Front) serveRequests(c *conn) {
+	for {
+		r, rejected := f.readRequest(c)
+		if rejected != nil {
+			c.reject(rejected)
+			return
+		}
+		if r == nil {
+			return
+		}
+		if !f.setBusy(c, true) && !f.Draining() {
+			c.closeAfterNext = true
+		}
+		if !f.serveRequest(c, r) || !f.setBusy(c, false) {
+			return
+		}
+	}
+}
+
+// serveRequest responds to one request and reports whether the connection stays open.
+func (f *Front) serveRequest(c *conn, r *request) bool {
+	defer f.Budget.ReleaseRequest(r.body.HeldBytes())
+	stays := true
+	if !r.body.Complete() {
+		f.markStreaming(c)
+		pumped := make(chan struct{})
+		go func() {
+			defer close(pumped)
+			r.body.Pump(f.timedReader(c, r.httpRequest.Body))
+		}()
+		defer func() {
+			r.body.Discard()
+			if !stays { // the client may still be sending: let it read its response first
+				f.awaitBody(c, pumped)
+			}
+			<-pumped
+		}()
+	}
+	final, ok := f.respond(c, r)
+	if !ok {
+		c.Close() // also ends the pump
+		stays = false
+		return false
+	}
+	early := false // the response came before the end of the request: further input may still belong to that request
+	select {
+	case <-r.body.Ended():
+	default:
+		early = true
+	}
+	if final.Stream != nil {
+		f.markStreaming(c)
+	}
+	last := r.httpRequest.Close || c.closeAfterNext || early || f.Draining()
+	stays = c.writeResponse(r.httpRequest, final, last) == nil && !last
+	final.release()
+	if r.Request != nil {
+		f.Core.ResponseWritten(r.Request)
+	}
+	if c.inputDiscarded {
+		c.closeAfterResponse()
+	}
+	return stays
+}
+
+// respond returns exactly one response to a request. False: a rejection was written already, or the client has
+// disconnected.
+func (f *Front) respond(c *conn, r *request) (response, bool) {
+	if r.Request == nil {
+		return response{status: f.Ready()}, true
+	}
+	if c.closeAfterNext { // nothing was sent: rejecting is safe for every class
+		return response{status: stdhttp.StatusServiceUnavailable, Response: message.Response{Body: []byte("too many connections\n")},
+			retryAfter: overloadRetryAfter}, true
+	}
+	complete := r.body.Complete()
+	if complete && r.windowMayBeClosed && c.discardAndCheckDisconnected() {
+		return toResponse(core.Response{Kind: core.Refused, RetryAfter: overloadRetryAfter}), true
+	}
+	if complete {
+		r.BeforeWait = c.watchClient
+	}
+	if !f.Core.Begin(r.Request) {
+		c.stopWatching()
+		c.reject(&rejection{status: stdhttp.StatusConflict, text: "X-Request-Id: a request with this id is open"})
+		return response{}, false
+	}
+	select {
+	case final := <-r.Response():
+		c.stopWatching()
+		return toResponse(final), true
+	default:
+	}
+	if !complete {
+		select {
+		case final := <-r.Response():
+			return toResponse(final), true
+		case <-r.body.Ended():
+		}
+		if err := r.body.Err(); err != nil {
+			f.Core.ClientGone(r.Request)
+			c.reject(bodyRejection(err))
+			return response{}, false
+		}
+	}
+	c.watchClient()
+	final, ok := r.Await(c.clientLeft)
+	c.stopWatching()
+	if !ok {
+		// The client may have closed only its sending side and still wait for the response.
+		c.closeAfterNext, final = true, core.Response{Kind: core.Failed}
+		if !f.Core.ClientGone(r.Request) {
+			final = core.Response{Kind: core.Refused, RetryAfter: overloadRetryAfter}
+		}
+		return toResponse(final), true
+	}
+	return toResponse(final), true
+}
+
+// reject writes the response to invalid input and ends the connection.
+func (c *conn) reject(rejected *rejection) {
+	if c.writeResponse(nil, response{status: rejected.status, retryAfter: rejected.retryAfter,
+		Response: message.Response{Body: []byte(rejected.text + "\n")}}, true) != nil {
+		return
+	}
+	c.closeAfterResponse()
+}
+
+// closeAfterResponse ends a connection on which more input may arrive after its last response. Closing a connection
+// with unread input resets it, and the client loses what it has not read.
+func (c *conn) closeAfterResponse() {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		t.CloseWrite()
+	}
+	c.SetReadDeadline(time.Now().Add(lingerTimeout))
+	io.CopyN(io.Discard, c.Conn, maxLingerBytes)
+}
