front/http: reading a head, building a request and awaiting it are separate functions

Functions of up to 65 lines did several jobs each: readRequest, checkHead, serveRequest and respond are split, without another behavior. Tests share the set-up of late requests.

--- a/internal/front/http/head.go
+++ b/internal/front/http/head.go
@@ -27,14 +27,32 @@
 // readRequest reads the next request, and its body if that is small. Both results are nil if no byte of a request
 // arrives.
 func (f *Front) readRequest(c *conn) (*request, *rejection) {
-	end := c.accepted.Add(HeadTimeout + f.Slack)
+	end, arrived := f.awaitFirstByte(c)
+	if !arrived {
+		return nil, nil
+	}
+	req, rejected := c.readHead(end)
+	if rejected != nil {
+		return nil, rejected
+	}
+	r := &request{httpRequest: req}
+	if rejected := f.checkHead(r, c); rejected != nil {
+		return nil, rejected
+	}
+	return r, f.readBody(c, r)
+}
+
+// awaitFirstByte waits for the first byte of the next request, and returns by when the request's head must have arrived;
+// false if no byte arrives.
+func (f *Front) awaitFirstByte(c *conn) (end time.Time, arrived bool) {
+	end = c.accepted.Add(HeadTimeout + f.Slack)
 	if c.servedRequest {
 		f.setReadDeadline(c, time.Now().Add(IdleTimeout+f.Slack))
 	} else {
 		f.setReadDeadline(c, end)
 	}
 	if _, err := c.reader.Peek(1); err != nil {
-		return nil, nil
+		return end, false
 	}
 	begun := time.Now()
 	if c.servedRequest {
@@ -44,17 +62,20 @@
 	c.reading, c.requestStart = true, begun
 	f.mu.Unlock()
 	f.setReadDeadline(c, end) // also if it was evicted as idle right after its first byte
+	return end, true
+}
+
+// readHead reads the head of a request, which must have arrived by end.
+func (c *conn) readHead(end time.Time) (*stdhttp.Request, *rejection) {
 	head, err := c.peekHead()
-	if err != nil && !time.Now().Before(end) {
+	switch {
+	case err != nil && !time.Now().Before(end):
 		return nil, &rejection{status: stdhttp.StatusRequestTimeout, text: "the head did not come in time"}
-	}
-	if errors.Is(err, bufio.ErrBufferFull) {
+	case errors.Is(err, bufio.ErrBufferFull):
 		return nil, &rejection{status: stdhttp.StatusRequestHeaderFieldsTooLarge, text: "the head is too large"}
-	}
-	if err != nil {
+	case err != nil:
 		return nil, &rejection{status: stdhttp.StatusBadRequest, text: err.Error()}
-	}
-	if hasTwoFramings(head) {
+	case hasTwoFramings(head):
 		// net/http ignores a Content-Length next to Transfer-Encoding. Readers that disagree about the framing allow
 		// request smuggling.
 		return nil, &rejection{status: stdhttp.StatusBadRequest, text: "Content-Length beside Transfer-Encoding"}
@@ -63,11 +84,7 @@
 	if err != nil {
 		return nil, &rejection{status: stdhttp.StatusBadRequest, text: err.Error()}
 	}
-	r := &request{httpRequest: req}
-	if rejected := f.checkHead(r, c); rejected != nil {
-		return nil, rejected
-	}
-	return r, f.readBody(c, r)
+	return req, nil
 }
 
 // peekHead waits until the head of the next request is in the buffer, and returns it as it was sent. Empty lines before
@@ -119,19 +136,44 @@
 	return length && encoding
 }
 
+// rejectf returns a rejection with a formatted text.
+func rejectf(status int, format string, args ...any) *rejection {
+	return &rejection{status: status, text: fmt.Sprintf(format, args...)}
+}
+
 // checkHead returns the rejection of a request whose head is invalid, or nil. It sets core.Request, except for GET
 // /ready.
 func (f *Front) checkHead(r *request, c *conn) *rejection {
 	req := r.httpRequest
-	rejectf := func(status int, format string, args ...any) *rejection {
-		return &rejection{status: status, text: fmt.Sprintf(format, args...)}
+	if rejected := checkProtocol(req); rejected != nil || req.URL.Path == "/ready" {
+		return rejected
+	}
+	for _, name := range message.ForwardedHeaders {
+		if len(req.Header[name]) > 1 {
+			return rejectf(stdhttp.StatusBadRequest, "%s: more than one", name)
+		}
+	}
+	r.Request = newCoreRequest(req, c)
+	if r.ID == "" || len(r.ID) > maxRequestIDLength {
+		return rejectf(stdhttp.StatusBadRequest, "X-Request-Id: missing or too long")
+	}
+	var err error
+	if r.Timeout, err = parseDeadline(req.Header.Get("X-Deadline")); err != nil {
+		return rejectf(stdhttp.StatusBadRequest, "X-Deadline: %v", err)
 	}
-	bad := stdhttp.StatusBadRequest
+	if err := f.CheckRequest(req); err != nil {
+		return rejectf(stdhttp.StatusBadRequest, "%v", err)
+	}
+	return nil
+}
+
+// checkProtocol returns the rejection of a request that is not HTTP as it is spoken here, or nil.
+func checkProtocol(req *stdhttp.Request) *rejection {
 	switch expect := req.Header.Get("Expect"); {
 	case !req.ProtoAtLeast(1, 1):
 		return rejectf(stdhttp.StatusHTTPVersionNotSupported, "only HTTP/1.1 is spoken here")
 	case req.Host == "":
-		return rejectf(bad, "Host: missing")
+		return rejectf(stdhttp.StatusBadRequest, "Host: missing")
 	case expect != "" && !strings.EqualFold(expect, "100-continue"):
 		return rejectf(stdhttp.StatusExpectationFailed, "Expect: %q is not known", expect)
 	case req.Method != stdhttp.MethodGet && req.Method != stdhttp.MethodPost:
@@ -139,40 +181,33 @@
 	case req.ContentLength > message.MaxBody:
 		return rejectf(stdhttp.StatusRequestEntityTooLarge, "Content-Length: over %d", message.MaxBody)
 	case req.Method == stdhttp.MethodGet && req.ContentLength != 0:
-		return rejectf(bad, "Content-Length: a GET has no body")
+		return rejectf(stdhttp.StatusBadRequest, "Content-Length: a GET has no body")
 	case req.Method == stdhttp.MethodPost && req.ContentLength >= 0 && req.Header.Get("Content-Length") == "":
 		return rejectf(stdhttp.StatusLengthRequired, "Content-Length: missing")
 	}
 	for name := range req.Header {
 		// net/http accepts a name with a space, and does not treat "Transfer-Encoding :" as Transfer-Encoding.
 		if strings.Contains(name, " ") {
-			return rejectf(bad, "%q is no name of a header", name)
-		}
-	}
-	if req.URL.Path == "/ready" {
-		return nil
-	}
-	for _, name := range message.ForwardedHeaders {
-		if len(req.Header[name]) > 1 {
-			return rejectf(bad, "%s: more than one", name)
+			return rejectf(stdhttp.StatusBadRequest, "%q is no name of a header", name)
 		}
 	}
+	return nil
+}
+
+// newCoreRequest returns the core's request for a head, without what is checked or read later.
+func newCoreRequest(req *stdhttp.Request, c *conn) *core.Request {
 	h := req.Header
-	r.Request = &core.Request{ID: h.Get("X-Request-Id"), Class: h.Get("X-Class"), Tenant: h.Get("X-Tenant"),
-		IdempotencyKey: h.Get("Idempotency-Key"), Repeat: h.Get("X-Retry") == "1",
-		CostHint: costHint(h), Caller: Caller(h, RemoteAddr(c.Conn), c.user), Message: req,
-		ClientLeft: func() bool { return flow.PeerClosed(c.Conn) }}
-	if r.ID == "" || len(r.ID) > maxRequestIDLength {
-		return rejectf(bad, "X-Request-Id: missing or too long")
+	return &core.Request{
+		ID:             h.Get("X-Request-Id"),
+		Class:          h.Get("X-Class"),
+		Tenant:         h.Get("X-Tenant"),
+		IdempotencyKey: h.Get("Idempotency-Key"),
+		Repeat:         h.Get("X-Retry") == "1",
+		CostHint:       costHint(h),
+		Caller:         Caller(h, RemoteAddr(c.Conn), c.user),
+		Message:        req,
+		ClientLeft:     func() bool { return flow.PeerClosed(c.Conn) },
 	}
-	var err error
-	if r.Timeout, err = parseDeadline(req.Header.Get("X-Deadline")); err != nil {
-		return rejectf(bad, "X-Deadline: %v", err)
-	}
-	if err := f.CheckRequest(req); err != nil {
-		return rejectf(bad, "%v", err)
-	}
-	return nil
 }
 
 // parseDeadline parses a number with its unit: m for milliseconds or u for microseconds.
--- a/internal/front/http/serve.go
+++ b/internal/front/http/serve.go
@@ -31,6 +31,16 @@
 	windowMayBeClosed bool
 }
 
+// ended reports whether no more of the request is read from the client. Further input does not belong to it then.
+func (r *request) ended() bool {
+	select {
+	case <-r.body.Ended():
+		return true
+	default:
+		return false
+	}
+}
+
 // rejection is the response to input that is not passed to the core. The connection is closed after it: what follows
 // cannot be told apart from the remainder of that request.
 type rejection struct {
@@ -64,12 +74,7 @@
 	defer f.Budget.ReleaseRequest(r.body.HeldBytes())
 	stays := true
 	if !r.body.Complete() {
-		f.markStreaming(c)
-		pumped := make(chan struct{})
-		go func() {
-			defer close(pumped)
-			r.body.Pump(f.timedReader(c, r.httpRequest.Body))
-		}()
+		pumped := f.startPump(c, r)
 		defer func() {
 			r.body.Discard()
 			if !stays { // the client may still be sending: let it read its response first
@@ -84,16 +89,10 @@
 		stays = false
 		return false
 	}
-	early := false // the response came before the end of the request: further input may still belong to that request
-	select {
-	case <-r.body.Ended():
-	default:
-		early = true
-	}
 	if final.Stream != nil {
 		f.markStreaming(c)
 	}
-	last := r.httpRequest.Close || c.closeAfterNext || early || f.Draining()
+	last := r.httpRequest.Close || c.closeAfterNext || !r.ended() || f.Draining()
 	stays = c.writeResponse(r.httpRequest, final, last) == nil && !last
 	final.release()
 	if r.Request != nil {
@@ -105,6 +104,18 @@
 	return stays
 }
 
+// startPump forwards the rest of a request's body to the attempt that reads it. The returned channel is closed once
+// nothing more is read from the client.
+func (f *Front) startPump(c *conn, r *request) (pumped <-chan struct{}) {
+	f.markStreaming(c)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.body.Pump(f.timedReader(c, r.httpRequest.Body))
+	}()
+	return done
+}
+
 // respond returns exactly one response to a request. False: a rejection was written already, or the client has
 // disconnected.
 func (f *Front) respond(c *conn, r *request) (response, bool) {
@@ -115,11 +126,10 @@
 		return response{status: stdhttp.StatusServiceUnavailable, Response: message.Response{Body: []byte("too many connections\n")},
 			retryAfter: overloadRetryAfter}, true
 	}
-	complete := r.body.Complete()
-	if complete && r.windowMayBeClosed && c.discardAndCheckDisconnected() {
-		return toResponse(core.Response{Kind: core.Refused, RetryAfter: overloadRetryAfter}), true
-	}
-	if complete {
+	if r.body.Complete() {
+		if r.windowMayBeClosed && c.discardAndCheckDisconnected() {
+			return toResponse(core.Response{Kind: core.Refused, RetryAfter: overloadRetryAfter}), true
+		}
 		r.BeforeWait = c.watchClient
 	}
 	if !f.Core.Begin(r.Request) {
@@ -133,9 +143,9 @@
 		return toResponse(final), true
 	default:
 	}
-	if !complete {
+	if !r.body.Complete() {
 		select {
-		case final := <-r.Response():
+		case final := <-r.Response(): // before the end of the request
 			return toResponse(final), true
 		case <-r.body.Ended():
 		}
@@ -145,18 +155,23 @@
 			return response{}, false
 		}
 	}
+	return f.awaitResponse(c, r), true
+}
+
+// awaitResponse waits for the response to a request that has been read completely.
+func (f *Front) awaitResponse(c *conn, r *request) response {
 	c.watchClient()
 	final, ok := r.Await(c.clientLeft)
 	c.stopWatching()
-	if !ok {
-		// The client may have closed only its sending side and still wait for the response.
-		c.closeAfterNext, final = true, core.Response{Kind: core.Failed}
-		if !f.Core.ClientGone(r.Request) {
-			final = core.Response{Kind: core.Refused, RetryAfter: overloadRetryAfter}
-		}
-		return toResponse(final), true
+	if ok {
+		return toResponse(final)
+	}
+	// The client may have closed only its sending side and still wait for the response.
+	c.closeAfterNext = true
+	if f.Core.ClientGone(r.Request) {
+		return toResponse(core.Response{Kind: core.Failed})
 	}
-	return toResponse(final), true
+	return toResponse(core.Response{Kind: core.Refused, RetryAfter: overloadRetryAfter})
 }
 
 // reject writes the response to invalid input and ends the connection.
--- a/internal/node/late_upload_test.go
+++ b/internal/node/late_upload_test.go
@@ -24,6 +24,17 @@
 	return fmt.Sprintf("%s\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body)
 }
 
+// terminateAndStopAccepting does what SIGTERM does, and returns once the node accepts no more connections: the responses to
+// requests that are complete from then on have a latest time.
+func (n *testNode) terminateAndStopAccepting(t *testing.T) {
+	t.Helper()
+	n.terminate()
+	waitFor(t, "the end of accepting", func() bool {
+		_, bound := n.lifecycle.finalResponseTimeout()
+		return bound
+	})
+}
+
 // Guards against large requests that SIGKILL leaves without a response. One whose head came before SIGTERM, and whose
 // last byte comes only once no new connections are accepted, gets its response before SIGKILL: the web server's where
 // that responds in time, else a final one of the node's. One that is still incomplete then is refused at once, and
@@ -58,11 +69,7 @@
 				text := uploadText("late", chunked)
 				cl.send(text[:len(text)/2])
 				waitFor(t, "the attempt", func() bool { open, idle := node.pool.Counts(); return open > idle })
-				node.terminate()
-				waitFor(t, "the end of accepting", func() bool {
-					_, bound := node.lifecycle.finalResponseTimeout()
-					return bound
-				})
+				node.terminateAndStopAccepting(t)
 				if c.completed {
 					cl.send(text[len(text)/2:])
 				}
@@ -93,11 +100,7 @@
 	text := q.text()
 	cl.send(text[:30])
 	waitFor(t, "the node to read the first part", func() bool { return flow.PeekInput(cl.end) == flow.NoInput })
-	node.terminate()
-	waitFor(t, "the end of accepting", func() bool {
-		_, bound := node.lifecycle.finalResponseTimeout()
-		return bound
-	})
+	node.terminateAndStopAccepting(t)
 	cl.send(text[30:])
 	if resp, _ := cl.readResponse(); resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
 		t.Errorf("status %d, Retry-After %q; want 503 and a time", resp.StatusCode, resp.Header.Get("Retry-After"))
@@ -131,11 +134,7 @@
 			waitFor(t, "the attempt", func() bool { open, idle := node.pool.Counts(); return open > idle })
 			node.reloadSettings(t, c.atSIGTERM)
 			terminated := time.Now()
-			node.terminate()
-			waitFor(t, "the end of accepting", func() bool {
-				_, bound := node.lifecycle.finalResponseTimeout()
-				return bound
-			})
+			node.terminateAndStopAccepting(t)
 			cl.send(text[len(text)/2:])
 			if c.status == http.StatusOK {
 				waitFor(t, "the request", func() bool { return len(server.requests()) == 1 })
--- a/internal/node/reload_deadline_test.go
+++ b/internal/node/reload_deadline_test.go
@@ -88,11 +88,7 @@
 	text := save("late").text()
 	c.send(text[:30])
 	waitFor(t, "the node to read the first half", func() bool { return flow.PeekInput(c.end) == flow.NoInput })
-	node.terminate()
-	waitFor(t, "the end of accepting", func() bool {
-		_, bound := node.lifecycle.finalResponseTimeout()
-		return bound
-	})
+	node.terminateAndStopAccepting(t)
 	c.send(text[30:])
 	if resp, _ := c.readResponse(); resp.StatusCode != 500 && resp.StatusCode != 503 {
 		t.Errorf("status %d, want 500 or 503", resp.StatusCode)
