--- a/internal/node/discovery_model_test.go
+++ b/internal/endpoints/model_test.go
@@ -1,4 +1,4 @@
-package node
+package endpoints
 
 import (
 	"container/heap"
@@ -13,43 +13,43 @@
 // and the real policy of 300 nodes, and a discovery that handles calls one after the other. docs/discovery.md has the
 // results.
 
-// scheduler decides when a node's watch loop calls discovery: the current pollSchedule, or the former one for
+// scheduler decides when a node's watch loop calls discovery: the current Schedule, or the former one for
 // comparison.
 type scheduler interface {
-	reset()
-	requireFresh(announced time.Duration)
-	callStarted(now time.Duration)
-	callTimes(full bool, random float64) (wait, limit time.Duration)
-	callSucceeded(now time.Duration, changed bool)
-	callFailed(now, waitEnd time.Duration, failure callFailure, random float64) (delay time.Duration, retry bool)
+	Reset()
+	RequireFresh(announced time.Duration)
+	CallStarted(now time.Duration)
+	CallTimes(full bool, random float64) (wait, limit time.Duration)
+	CallSucceeded(now time.Duration, changed bool)
+	CallFailed(now, waitEnd time.Duration, failure Failure, random float64) (delay time.Duration, retry bool)
 }
 
 // formerSchedule is the schedule that nodes which ask for lists had before watches were shortened, for comparison: a
 // watch waits 8 to 24 s, and a failure is left to the policy unless a fresh list is due.
 type formerSchedule struct{ grace, listDue, delay time.Duration }
 
-func (s *formerSchedule) reset() { *s = formerSchedule{grace: s.grace} }
-func (s *formerSchedule) requireFresh(announced time.Duration) {
+func (s *formerSchedule) Reset() { *s = formerSchedule{grace: s.grace} }
+func (s *formerSchedule) RequireFresh(announced time.Duration) {
 	s.listDue = max(s.listDue, announced+s.grace)
 }
-func (s *formerSchedule) callStarted(time.Duration)         {}
-func (s *formerSchedule) callSucceeded(time.Duration, bool) { s.listDue, s.delay = 0, 0 }
-func (s *formerSchedule) callTimes(full bool, random float64) (wait, limit time.Duration) {
+func (s *formerSchedule) CallStarted(time.Duration)         {}
+func (s *formerSchedule) CallSucceeded(time.Duration, bool) { s.listDue, s.delay = 0, 0 }
+func (s *formerSchedule) CallTimes(full bool, random float64) (wait, limit time.Duration) {
 	if full {
-		return 0, fetchTimeout
+		return 0, FetchTimeout
 	}
 	wait = 8*time.Second + time.Duration(random*float64(16*time.Second))
 	return wait, wait + 400*time.Millisecond
 }
 
-func (s *formerSchedule) callFailed(now, waitEnd time.Duration, failure callFailure, random float64) (time.Duration, bool) {
-	if failure == callTimeout {
-		s.requireFresh(waitEnd + 2*time.Second)
+func (s *formerSchedule) CallFailed(now, waitEnd time.Duration, failure Failure, random float64) (time.Duration, bool) {
+	if failure == CallTimeout {
+		s.RequireFresh(waitEnd + 2*time.Second)
 	}
 	switch {
 	case now >= s.listDue:
 		return 0, false
-	case failure == callTimeout && s.delay == 0:
+	case failure == CallTimeout && s.delay == 0:
 		s.delay = minBackoff
 		return 0, true
 	}
@@ -210,7 +210,7 @@
 		if n.blindSince >= 0 {
 			blind := m.now - max(since, n.blindSince)
 			m.maxBlind = max(m.maxBlind, blind)
-			n.wasBlindTooLong = n.wasBlindTooLong || blind > maxAnnounceDelay+m.grace
+			n.wasBlindTooLong = n.wasBlindTooLong || blind > MaxAnnounceDelay+m.grace
 		}
 	}
 	n.lastContact = m.now
@@ -268,7 +268,7 @@
 		if n.wasBlindTooLong {
 			m.blindNodes++
 		}
-		if schedule, ok := n.schedule.(*pollSchedule); ok && schedule.overloadUntil > 0 {
+		if schedule, ok := n.schedule.(*Schedule); ok && schedule.overloadUntil > 0 {
 			m.slowedNodes++
 		}
 	}
@@ -282,7 +282,7 @@
 		return
 	}
 	n.watching = true
-	n.schedule.reset()
+	n.schedule.Reset()
 	n.call(false)
 }
 
@@ -312,26 +312,26 @@
 	model := n.model
 	model.recordContact(n, false)
 	if n.fullListPending {
-		n.schedule.requireFresh(model.announceDelay)
+		n.schedule.RequireFresh(model.announceDelay)
 	}
-	n.schedule.callStarted(model.now)
-	wait, limit := n.schedule.callTimes(n.fullListPending, model.rng.Float64())
+	n.schedule.CallStarted(model.now)
+	wait, limit := n.schedule.CallTimes(n.fullListPending, model.rng.Float64())
 	call := &modelCall{node: n, arrived: model.now, waitEnd: model.now + wait, sinceVersion: n.version, resumes: resumes}
 	if n.fullListPending {
 		call.sinceVersion = -1
 	}
 	n.currentCall = call
 	n.callCount++
-	model.schedule(model.now+limit, func() { n.failed(call, callTimeout) })
+	model.schedule(model.now+limit, func() { n.failed(call, CallTimeout) })
 	switch {
 	case n.index < model.partitionedNodes && model.partition.contains(model.now):
 		if !n.connected { // no connection is established
-			model.schedule(model.now+dialTimeout, func() { n.failed(call, callError) })
+			model.schedule(model.now+DialTimeout, func() { n.failed(call, CallError) })
 		}
 		call.silent = true
 		return
 	case model.outage.contains(model.now):
-		model.schedule(model.now+time.Millisecond, func() { n.failed(call, callError) })
+		model.schedule(model.now+time.Millisecond, func() { n.failed(call, CallError) })
 		return
 	}
 	n.connected = true
@@ -375,7 +375,7 @@
 		call.node.rejectedInRow++
 		m.maxRejectedInRow = max(m.maxRejectedInRow, call.node.rejectedInRow)
 	}
-	call.node.failed(call, callRejected)
+	call.node.failed(call, CallRejected)
 }
 
 // serveNext handles the next call in the queue. One that timed out takes as long as any other, as discovery doesn't
@@ -424,20 +424,20 @@
 	if n.firstListAt < 0 {
 		n.firstListAt = m.now
 	}
-	n.schedule.callSucceeded(m.now, changed)
-	pause := max(0, minWatchInterval-(m.now-call.arrived)) + time.Millisecond + time.Duration(m.rng.Int64N(int64(2*time.Millisecond)))
+	n.schedule.CallSucceeded(m.now, changed)
+	pause := max(0, MinWatchInterval-(m.now-call.arrived)) + time.Millisecond + time.Duration(m.rng.Int64N(int64(2*time.Millisecond)))
 	m.schedule(m.now+pause, func() { n.call(true) })
 }
 
 // failed handles a call that failed or timed out.
-func (n *modelNode) failed(call *modelCall, failure callFailure) {
+func (n *modelNode) failed(call *modelCall, failure Failure) {
 	model := n.model
 	if call.done {
 		return
 	}
-	call.done, call.held, n.connected = true, false, failure == callRejected
+	call.done, call.held, n.connected = true, false, failure == CallRejected
 	model.recordContact(n, false)
-	if pause, retry := n.schedule.callFailed(model.now, call.waitEnd, failure, model.rng.Float64()); retry {
+	if pause, retry := n.schedule.CallFailed(model.now, call.waitEnd, failure, model.rng.Float64()); retry {
 		model.schedule(model.now+pause, func() { n.call(false) })
 		return
 	}
@@ -479,16 +479,16 @@
 	m.waiting = nil
 	for _, n := range m.nodes {
 		if call := n.currentCall; call != nil && !call.done {
-			m.schedule(m.now+time.Millisecond, func() { n.failed(call, callError) })
+			m.schedule(m.now+time.Millisecond, func() { n.failed(call, CallError) })
 		}
 	}
 }
 
 // newAskSchedule returns the schedule of nodes that ask for lists.
-func newAskSchedule(grace time.Duration) scheduler { return &pollSchedule{grace: grace} }
+func newAskSchedule(grace time.Duration) scheduler { return &Schedule{Grace: grace} }
 
 // newPushSchedule returns the schedule of nodes whose lists are pushed.
-func newPushSchedule(grace time.Duration) scheduler { return &pollSchedule{grace: grace, push: true} }
+func newPushSchedule(grace time.Duration) scheduler { return &Schedule{Grace: grace, Push: true} }
 
 // newFormerSchedule returns the former schedule of nodes that ask for lists.
 func newFormerSchedule(grace time.Duration) scheduler { return &formerSchedule{grace: grace} }
--- a/internal/node/discovery_schedule_test.go
+++ b/internal/endpoints/schedule_test.go
@@ -1,7 +1,8 @@
-package node
+package endpoints
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -23,7 +24,7 @@
 // may wait: then rejected nodes wait longer. With the former, longer watches it holds in none of the scenarios.
 func TestFleetReceivesChangesInTime(t *testing.T) {
 	t.Parallel()
-	within := maxAnnounceDelay + ms(500)
+	within := MaxAnnounceDelay + ms(500)
 	for _, free := range []bool{true, false} {
 		for _, roundTime := range []time.Duration{ms(5200), ms(7900)} {
 			for _, course := range []struct {
@@ -34,7 +35,7 @@
 				if course.name == "outage" {
 					setup.maxQueued = 60
 				}
-				bearable := free || course.name == "quiet" && roundTime < maxAskWait // without free continuations, only this scenario is bearable
+				bearable := free || course.name == "quiet" && roundTime < MaxAskWait // without free continuations, only this scenario is bearable
 				for _, seed := range []uint64{1, 2} {
 					at := fmt.Sprintf("%s, all handled in %v, free continuations %v, seed %d", course.name, roundTime, free, seed)
 					t.Run(at, func(t *testing.T) {
@@ -50,7 +51,7 @@
 						if course.name == "quiet" && after.rejected > after.calls/100 || course.name == "quiet" && bearable && after.rejected > 0 {
 							t.Errorf("%s: %d of %d calls rejected", at, after.rejected, after.calls)
 						}
-						if free && (course.name == "partition" || roundTime < maxAnnounceDelay) && after.blindNodes > 0 {
+						if free && (course.name == "partition" || roundTime < MaxAnnounceDelay) && after.blindNodes > 0 {
 							t.Errorf("%s: %d nodes without a fresh list or a working watch for up to %v", at, after.blindNodes, after.maxBlind)
 						}
 						if free && course.name == "outage" && after.maxBlind > roundTime+ms(100) { // discovery is never idle while a node waits for it
@@ -80,33 +81,33 @@
 	}
 	for _, c := range []struct {
 		name    string
-		prepare func(schedule *pollSchedule)
+		prepare func(schedule *Schedule)
 		want    bool
 	}{
-		{"a response without a change", func(schedule *pollSchedule) { schedule.callSucceeded(time.Second, false) }, true},
-		{"a change that all nodes got", func(schedule *pollSchedule) { schedule.callSucceeded(time.Second, true) }, false},
-		{"a change after a failure, in the node's turn", func(schedule *pollSchedule) {
-			schedule.callFailed(0, 0, callError, 0)
-			schedule.callSucceeded(time.Second, true)
+		{"a response without a change", func(schedule *Schedule) { schedule.CallSucceeded(time.Second, false) }, true},
+		{"a change that all nodes got", func(schedule *Schedule) { schedule.CallSucceeded(time.Second, true) }, false},
+		{"a change after a failure, in the node's turn", func(schedule *Schedule) {
+			schedule.CallFailed(0, 0, CallError, 0)
+			schedule.CallSucceeded(time.Second, true)
 		}, true},
-		{"a failed call", func(schedule *pollSchedule) {
-			schedule.callSucceeded(time.Second, false)
-			schedule.callFailed(2*time.Second, 0, callError, 0)
+		{"a failed call", func(schedule *Schedule) {
+			schedule.CallSucceeded(time.Second, false)
+			schedule.CallFailed(2*time.Second, 0, CallError, 0)
 		}, false},
-		{"a silent watch", func(schedule *pollSchedule) {
-			schedule.callSucceeded(time.Second, false)
-			schedule.callFailed(2*time.Second, 0, callTimeout, 0)
+		{"a silent watch", func(schedule *Schedule) {
+			schedule.CallSucceeded(time.Second, false)
+			schedule.CallFailed(2*time.Second, 0, CallTimeout, 0)
 		}, false},
 	} {
-		schedule := &pollSchedule{grace: ms(500)}
+		schedule := &Schedule{Grace: ms(500)}
 		c.prepare(schedule)
-		schedule.callStarted(3 * time.Second)
-		schedule.callFailed(4*time.Second, 0, callRejected, 0.5)
-		if wait, _ := schedule.callTimes(false, 0); (wait >= minOverloadWait) != c.want {
+		schedule.CallStarted(3 * time.Second)
+		schedule.CallFailed(4*time.Second, 0, CallRejected, 0.5)
+		if wait, _ := schedule.CallTimes(false, 0); (wait >= MinOverloadWait) != c.want {
 			t.Errorf("rejected after %s: a watch waits %v", c.name, wait)
 		}
-		schedule.callStarted(4*time.Second + overloadPeriod + time.Second)
-		if wait, _ := schedule.callTimes(false, 0.999); wait > maxAskWait {
+		schedule.CallStarted(4*time.Second + overloadPeriod + time.Second)
+		if wait, _ := schedule.CallTimes(false, 0.999); wait > MaxAskWait {
 			t.Errorf("rejected after %s: after %v a watch still waits %v", c.name, overloadPeriod, wait)
 		}
 	}
@@ -116,34 +117,34 @@
 // their calls do not come together again; those that are spread already wait nearly as long as they may, as each call
 // is work.
 func TestWatchesSpreadAfterSimultaneousResponses(t *testing.T) {
-	quiet := func(schedule *pollSchedule) { schedule.callSucceeded(time.Second, false) }
+	quiet := func(schedule *Schedule) { schedule.CallSucceeded(time.Second, false) }
 	for _, c := range []struct {
 		name     string
-		prepare  func(schedule *pollSchedule)
+		prepare  func(schedule *Schedule)
 		wantWait time.Duration
 	}{
-		{"the first call", func(*pollSchedule) {}, minSpreadAskWait},
-		{"a change", func(schedule *pollSchedule) { schedule.callSucceeded(time.Second, true) }, minSpreadAskWait},
-		{"no change", quiet, minAskWait},
-		{"a reset", func(schedule *pollSchedule) { quiet(schedule); schedule.callFailed(2*time.Second, 0, callError, 0) }, minSpreadAskWait},
-		{"a rejection within a burst", func(schedule *pollSchedule) {
+		{"the first call", func(*Schedule) {}, minSpreadAskWait},
+		{"a change", func(schedule *Schedule) { schedule.CallSucceeded(time.Second, true) }, minSpreadAskWait},
+		{"no change", quiet, MinAskWait},
+		{"a reset", func(schedule *Schedule) { quiet(schedule); schedule.CallFailed(2*time.Second, 0, CallError, 0) }, minSpreadAskWait},
+		{"a rejection within a burst", func(schedule *Schedule) {
 			quiet(schedule)
-			schedule.callFailed(2*time.Second, 0, callError, 0)
-			schedule.callFailed(3*time.Second, 0, callRejected, 0)
+			schedule.CallFailed(2*time.Second, 0, CallError, 0)
+			schedule.CallFailed(3*time.Second, 0, CallRejected, 0)
 		}, minSpreadAskWait},
-		{"a silent watch's time-out", func(schedule *pollSchedule) { quiet(schedule); schedule.callFailed(2*time.Second, 0, callTimeout, 0) }, minAskWait},
-		{"a silent first watch's time-out", func(schedule *pollSchedule) { schedule.callFailed(2*time.Second, 0, callTimeout, 0) }, minSpreadAskWait},
-		{"a change in the node's turn, after a failure", func(schedule *pollSchedule) {
-			schedule.callFailed(2*time.Second, 0, callError, 0)
-			schedule.callSucceeded(3*time.Second, true)
-		}, minAskWait},
+		{"a silent watch's time-out", func(schedule *Schedule) { quiet(schedule); schedule.CallFailed(2*time.Second, 0, CallTimeout, 0) }, MinAskWait},
+		{"a silent first watch's time-out", func(schedule *Schedule) { schedule.CallFailed(2*time.Second, 0, CallTimeout, 0) }, minSpreadAskWait},
+		{"a change in the node's turn, after a failure", func(schedule *Schedule) {
+			schedule.CallFailed(2*time.Second, 0, CallError, 0)
+			schedule.CallSucceeded(3*time.Second, true)
+		}, MinAskWait},
 	} {
-		schedule := &pollSchedule{grace: ms(500)}
+		schedule := &Schedule{Grace: ms(500)}
 		c.prepare(schedule)
-		if wait, limit := schedule.callTimes(false, 0); wait != c.wantWait || schedule.failing && limit < fetchTimeout {
+		if wait, limit := schedule.CallTimes(false, 0); wait != c.wantWait || schedule.failing && limit < FetchTimeout {
 			t.Errorf("after %s: waits %v, times out after %v; want a wait of %v", c.name, wait, limit, c.wantWait)
 		}
-		if wait, limit := schedule.callTimes(false, 0.9999); wait > maxAskWait || limit > maxAnnounceDelay {
+		if wait, limit := schedule.CallTimes(false, 0.9999); wait > MaxAskWait || limit > MaxAnnounceDelay {
 			t.Errorf("after %s: waits up to %v, times out after %v", c.name, wait, limit)
 		}
 	}
@@ -177,9 +178,9 @@
 		{name: "a call queues for 2.4 s and is rejected", script: rejectAfter(ms(2400), 2, 2)},
 		{name: "a call is rejected twice in a row at once", script: rejectAfter(ms(1), 2, 3)},
 		{name: "a call is rejected twice in a row, each time after 2.4 s in the queue", script: rejectAfter(ms(2400), 2, 3), formerFails: true},
-		{name: "the complete list is rejected twice in a row at once", script: rejectAfter(ms(1), 1, 2), announceDelay: reloadAnnounceDelay},
-		{name: "the complete list is rejected twice in a row after 1.5 s in the queue", script: rejectAfter(ms(1500), 1, 2), announceDelay: reloadAnnounceDelay},
-		{name: "the call for the complete list gets no response", announceDelay: reloadAnnounceDelay, script: func(_ *discoveryModel, call *modelCall, nth int) bool {
+		{name: "the complete list is rejected twice in a row at once", script: rejectAfter(ms(1), 1, 2), announceDelay: ReloadAnnounceDelay},
+		{name: "the complete list is rejected twice in a row after 1.5 s in the queue", script: rejectAfter(ms(1500), 1, 2), announceDelay: ReloadAnnounceDelay},
+		{name: "the call for the complete list gets no response", announceDelay: ReloadAnnounceDelay, script: func(_ *discoveryModel, call *modelCall, nth int) bool {
 			call.silent = nth == 1
 			return call.silent
 		}},
@@ -194,7 +195,7 @@
 				for seed := range uint64(300) {
 					setup := deployment{roundTime: ms(20), queueTimeout: ms(2400), grace: grace, push: push, script: c.script, announceDelay: c.announceDelay}
 					course := scenario{length: 60 * time.Second, outage: interval{0, c.down}, changes: []time.Duration{c.down + 1}}
-					within := maxAnnounceDelay + grace
+					within := MaxAnnounceDelay + grace
 					if c.announceDelay > 0 {
 						within = c.announceDelay + grace
 					}
@@ -202,7 +203,7 @@
 					if worst = max(worst, got.maxBlind); got.maxBlind > within {
 						t.Fatalf("%s, push %v, grace %v, seed %d: no fresh list for %v", c.name, push, grace, seed, got.maxBlind)
 					}
-					if got.maxNoContact > maxAnnounceDelay+grace {
+					if got.maxNoContact > MaxAnnounceDelay+grace {
 						t.Fatalf("%s, push %v, grace %v, seed %d: did not ask for %v", c.name, push, grace, seed, got.maxNoContact)
 					}
 					if !push && simulate(setup, course, 1, seed, newFormerSchedule).maxBlind > within {
@@ -217,3 +218,65 @@
 		}
 	}
 }
+
+// However a watch fails, and however long calls queue at discovery, the next call that discovery may answer is made
+// before the grace of what was missed has passed. Simulated in virtual time, in both modes, with graces of 0.5 and 1 s.
+func TestPollScheduleMeetsDeadlines(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	for _, push := range []bool{false, true} {
+		for _, grace := range []time.Duration{500 * time.Millisecond, time.Second} {
+			for range 2000 {
+				schedule := &Schedule{Push: push, Grace: grace}
+				started := time.Duration(rng.Int64N(int64(time.Hour)))
+				wait, limit := schedule.CallTimes(false, rng.Float64())
+				silentAt := started + time.Duration(rng.Int64N(int64(wait))) // when it fell silent
+				announced := max(silentAt+6*time.Second, started+wait+2*time.Second)
+				now := started + limit
+				delay, retry := schedule.CallFailed(now, started+wait, CallTimeout, rng.Float64())
+				queueTime := time.Duration(rng.Int64N(int64(2 * time.Second))) // how long the call queues where none failed before
+				failures := rng.IntN(3)                                        // how many calls fail before
+				for range failures {
+					if !retry {
+						t.Fatalf("push %v, grace %v: the loop ends %v before what was missed counts as announced", push, grace, announced-now)
+					}
+					now += delay + 50*time.Millisecond
+					delay, retry = schedule.CallFailed(now, 0, CallError, rng.Float64())
+				}
+				if now += delay; failures == 0 {
+					now += queueTime
+				}
+				if !retry || now > announced+grace*9/10 {
+					t.Fatalf("push %v, grace %v: a list only at %v, but what was missed counts as announced at %v", push, grace, now-started, announced-started)
+				}
+			}
+			// While the agent of a pushed list is down, no delay exceeds a part of the grace. Elsewhere the policy
+			// decides when to ask.
+			schedule := &Schedule{Push: push, Grace: grace}
+			for range 50 {
+				delay, retry := schedule.CallFailed(time.Hour, 0, CallError, 0.999)
+				if retry != push || delay > grace/2 {
+					t.Fatalf("push %v, grace %v: delay of %v, retry %v", push, grace, delay, retry)
+				}
+			}
+			// The contents of a response that broke off were announced: it is asked for again within the grace. A
+			// response that always takes longer than its limit gets through in the end.
+			schedule = &Schedule{Push: push, Grace: grace}
+			if timeout := schedule.BodyTimeout(); timeout > grace/2 {
+				t.Errorf("push %v, grace %v: the rest of a response may take %v", push, grace, timeout)
+			}
+			if delay, retry := schedule.CallFailed(time.Hour, 0, ResponseBroken, 0.999); !retry || schedule.delay == 0 || delay > grace/4 {
+				t.Errorf("push %v, grace %v: after a broken response, delay of %v, retry %v", push, grace, delay, retry)
+			}
+			for range 8 {
+				schedule.CallFailed(time.Hour, 0, ResponseBroken, 0)
+			}
+			if timeout := schedule.BodyTimeout(); timeout != FetchTimeout {
+				t.Errorf("push %v, grace %v: slow responses may take %v in the end", push, grace, timeout)
+			}
+			schedule.RequireFresh(time.Hour)
+			if _, retry := schedule.CallFailed(time.Hour+grace/2, 0, CallError, 0); !retry {
+				t.Errorf("push %v, grace %v: the loop ends though a list is due", push, grace)
+			}
+		}
+	}
+}
--- a/internal/node/cells_test.go
+++ b/internal/node/cells_test.go
@@ -8,10 +8,11 @@
 	"time"
 
 	"portstall/internal/cell"
+	"portstall/internal/endpoints"
 )
 
 // eightServers starts eight web servers, each in a zone and a pod.
-func eightServers(t *testing.T, place func(i int) (zone string, pod int64)) (servers []*stubServer, list []serverEntry) {
+func eightServers(t *testing.T, place func(i int) (zone string, pod int64)) (servers []*stubServer, list []endpoints.Endpoint) {
 	for i := range 8 {
 		server := newStubServer(t, respondOK)
 		entry := server.entry(fmt.Sprint("s-", i))
@@ -62,7 +63,7 @@
 	if got := used(); !within(got, before.Servers) || !slices.Equal(atOther.Servers, before.Servers) || atOther.Version != before.Version || len(before.Servers) != 2 {
 		t.Fatalf("%v were used; the cell is %v, at the other node %v", got, before.Servers, atOther.Servers)
 	}
-	if first, second := list[slices.IndexFunc(list, func(e serverEntry) bool { return e.ID == before.Servers[0] })], list[slices.IndexFunc(list, func(e serverEntry) bool { return e.ID == before.Servers[1] })]; first.Zone == second.Zone {
+	if first, second := list[slices.IndexFunc(list, func(e endpoints.Endpoint) bool { return e.ID == before.Servers[0] })], list[slices.IndexFunc(list, func(e endpoints.Endpoint) bool { return e.ID == before.Servers[1] })]; first.Zone == second.Zone {
 		t.Errorf("both are in zone %s", first.Zone)
 	}
 	// One of the two drains: another server takes its slot, and the other one stays.
@@ -194,7 +195,7 @@
 // Where all of a tenant's own servers are disabled, the configured share of its requests spills to the neighbor's cell.
 func TestSpillToNeighborCell(t *testing.T) {
 	t.Parallel()
-	var list []serverEntry
+	var list []endpoints.Endpoint
 	for i := range 12 {
 		list = append(list, newStubServer(t, respondOK).entry(fmt.Sprint("s-", i)))
 	}
--- a/internal/node/client_gone_test.go
+++ b/internal/node/client_gone_test.go
@@ -15,6 +15,7 @@
 
 	"portstall/internal/back"
 	"portstall/internal/core"
+	"portstall/internal/endpoints"
 	"portstall/internal/flow"
 	"portstall/internal/lab/standin"
 	"portstall/internal/message"
@@ -122,7 +123,7 @@
 				ln, err := standin.Listen()
 				must(t, err)
 				defer ln.Close()
-				known := []serverEntry{{ID: "s-1", Addr: ln.Addr().String(), Zone: "north", Kind: "k", State: "Ready"}}
+				known := []endpoints.Endpoint{{ID: "s-1", Addr: ln.Addr().String(), Zone: "north", Kind: "k", State: "Ready"}}
 				if c.retry {
 					known = append(known, full.entry("s-2"))
 				}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -15,6 +15,7 @@
 	"portstall/internal/config"
 	"portstall/internal/control/follow"
 	"portstall/internal/core"
+	"portstall/internal/endpoints"
 	"portstall/internal/mgmt"
 	"portstall/internal/wire"
 )
@@ -29,8 +30,8 @@
 	Seed      uint64
 	Cores     float64
 	MemoryMB  int
-	Sockets   int        // descriptors that the process may hold
-	Known     serverList // the web servers as this node last knew them
+	Sockets   int            // descriptors that the process may hold
+	Known     endpoints.List // the web servers as this node last knew them
 	Settings  wire.Settings
 	Product   *config.File // the product's own file; nil where none is named, as on the platform
 
@@ -176,7 +177,7 @@
 		MemoryMB int     `json:"memory_mb"`
 		Sockets  int     `json:"sockets"`
 	} `json:"limits"`
-	Known    serverList      `json:"known"`
+	Known    endpoints.List  `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 }
 
--- a/internal/node/connection_close_test.go
+++ b/internal/node/connection_close_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"testing"
 
+	"portstall/internal/endpoints"
 	"portstall/internal/flow"
 	"portstall/internal/lab/standin"
 	"portstall/internal/message"
@@ -63,7 +64,7 @@
 				must(t, err)
 				defer ln.Close()
 				other := newStubServer(t, respondOK)
-				first := serverEntry{ID: "s-1", Addr: ln.Addr().String(), Zone: "north", Kind: "k", State: "Ready"}
+				first := endpoints.Endpoint{ID: "s-1", Addr: ln.Addr().String(), Zone: "north", Kind: "k", State: "Ready"}
 				node := newTestNode(t, newStubDiscovery(t), settingsJSON, withTestTimeouts, first, other.entry("s-2"))
 				must(t, node.Disable(context.Background(), "s-2")) // until the first attempt is under way
 				node.setDial("s-1", func(_ context.Context, d *net.Dialer, addr string) (net.Conn, error) {
--- a/internal/node/contracts_test.go
+++ b/internal/node/contracts_test.go
@@ -128,7 +128,7 @@
 	status("a1", "X-Tenant: app")
 	status("a2", "X-Tenant: app")
 	cfg := node.cfg
-	cfg.Discovery = node.discovery.addr
+	cfg.Discovery = node.discovery.client.Addr()
 	withProductFile(t, "contracts:\n- {name: app, match: [{tenant: app}], rate: 0.001, burst: 2}\n- {name: rest}\n")(&cfg)
 	node.reload(cfg)
 	if got := status("a3", "X-Tenant: app"); got != 429 {
--- a/internal/node/control_serve_test.go
+++ b/internal/node/control_serve_test.go
@@ -139,7 +139,7 @@
 	}
 	set, err := wire.DecodeSettings([]byte(quoteSafeSettingsJSON))
 	must(t, err)
-	must(t, node.reload(Config{Discovery: node.discovery.addr, Settings: set, Product: node.cfg.Product}))
+	must(t, node.reload(Config{Discovery: node.discovery.client.Addr(), Settings: set, Product: node.cfg.Product}))
 	waitFor(t, "the version that was refused", func() bool { return node.versionInForce().String() == version })
 	waitFor(t, "control to notice it", func() bool { return len(process.status().Refusals) == 0 })
 }
--- a/internal/node/control_test.go
+++ b/internal/node/control_test.go
@@ -21,6 +21,7 @@
 
 	"portstall/internal/contract"
 	"portstall/internal/control/follow"
+	"portstall/internal/endpoints"
 	"portstall/internal/resource"
 	"portstall/internal/wire"
 )
@@ -86,12 +87,12 @@
 	return l.buf.String()
 }
 
-func runFullNode(t *testing.T, product string, control string, discovery *stubDiscovery, known ...serverEntry) *fullNode {
+func runFullNode(t *testing.T, product string, control string, discovery *stubDiscovery, known ...endpoints.Endpoint) *fullNode {
 	t.Helper()
 	settings, err := wire.DecodeSettings([]byte(settingsJSON))
 	must(t, err)
 	running := &fullNode{addr: freeAddr(t), mgmt: freeAddr(t), reload: make(chan Change), exited: make(chan error, 1), log: &lockedBuffer{}}
-	running.cfg = Config{Name: "n0", Listen: running.addr, Mgmt: running.mgmt, Discovery: discovery.addr, Seed: 1, Settings: settings, Known: serverList{Version: 1, Full: true, Servers: known}}
+	running.cfg = Config{Name: "n0", Listen: running.addr, Mgmt: running.mgmt, Discovery: discovery.addr, Seed: 1, Settings: settings, Known: endpoints.List{Version: 1, Full: true, Servers: known}}
 	withProductFile(t, product+fmt.Sprintf("control: {addresses: [%q]}\n", control))(&running.cfg)
 	ctx, cancel := context.WithCancel(context.Background())
 	running.leave = cancel
@@ -507,7 +508,7 @@
 	reload := func(node *testNode) error {
 		set, err := wire.DecodeSettings([]byte(quoteSafeSettingsJSON))
 		must(t, err)
-		return node.reload(Config{Discovery: node.discovery.addr, Settings: set, Product: node.cfg.Product})
+		return node.reload(Config{Discovery: node.discovery.client.Addr(), Settings: set, Product: node.cfg.Product})
 	}
 	t.Run("the change first", func(t *testing.T) {
 		t.Parallel()
@@ -830,7 +831,7 @@
 	service := newResource(resource.Service, "lines", `{"name":"lines"}`)
 	control := newStubControl(t, service, route("quote"))
 	addr := freeAddr(t)
-	node := newControlledNode(t, control, newStubDiscovery(t), fmt.Sprintf("tunnels: {connect: %q}\n", addr), nil, serverEntry{ID: "s-1", Addr: server.ln.Addr().String(), Zone: "north", Kind: "k", State: "Ready"})
+	node := newControlledNode(t, control, newStubDiscovery(t), fmt.Sprintf("tunnels: {connect: %q}\n", addr), nil, endpoints.Endpoint{ID: "s-1", Addr: server.ln.Addr().String(), Zone: "north", Kind: "k", State: "Ready"})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	must(t, node.openTunnelListeners(ctx, node.cfg.Product.Tunnels))
@@ -878,7 +879,7 @@
 	}
 	control := newStubControl(t, state("view")...)
 	addr := freeAddr(t)
-	node := newControlledNode(t, control, newStubDiscovery(t), fmt.Sprintf("tunnels: {connect: %q}\n", addr), nil, serverEntry{ID: "s-1", Addr: server.ln.Addr().String(), Zone: "north", Kind: "k", State: "Ready"})
+	node := newControlledNode(t, control, newStubDiscovery(t), fmt.Sprintf("tunnels: {connect: %q}\n", addr), nil, endpoints.Endpoint{ID: "s-1", Addr: server.ln.Addr().String(), Zone: "north", Kind: "k", State: "Ready"})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	must(t, node.openTunnelListeners(ctx, node.cfg.Product.Tunnels))
--- a/internal/node/discovery_calls_test.go
+++ b/internal/node/discovery_calls_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"portstall/internal/control/follow"
+	"portstall/internal/endpoints"
 )
 
 // askSettingsJSON is the settings of nodes that ask for lists.
@@ -47,9 +48,9 @@
 					return false
 				}
 				urls <- url
-				response := serverList{Version: min(1+nth, 3)} // the third and fourth contain no change
+				response := endpoints.List{Version: min(1+nth, 3)} // the third and fourth contain no change
 				if nth < 3 {
-					response.Servers = []serverEntry{server.entry("s-1")}
+					response.Servers = []endpoints.Endpoint{server.entry("s-1")}
 				}
 				io.WriteString(c, listResponse(response))
 				return true
@@ -69,12 +70,12 @@
 				if url := receive(t, "a call", urls); !strings.HasSuffix(url, fmt.Sprintf("&timeout_ms=%d", c.wait.Milliseconds())) {
 					t.Errorf("call %d: asked %q, want a wait of %v", i, url, c.wait)
 				}
-				if c.limit <= c.wait || c.limit > maxAnnounceDelay {
-					t.Errorf("call %d: waits %v and times out after %v, want a limit within %v", i, c.wait, c.limit, maxAnnounceDelay)
+				if c.limit <= c.wait || c.limit > endpoints.MaxAnnounceDelay {
+					t.Errorf("call %d: waits %v and times out after %v, want a limit within %v", i, c.wait, c.limit, endpoints.MaxAnnounceDelay)
 				}
 			}
-			if c := got[4]; mode == "ask" && c.wait < minAskWait {
-				t.Errorf("after a response without a change: waits %v, want at least %v, as each call is work", c.wait, minAskWait)
+			if c := got[4]; mode == "ask" && c.wait < endpoints.MinAskWait {
+				t.Errorf("after a response without a change: waits %v, want at least %v, as each call is work", c.wait, endpoints.MinAskWait)
 			}
 		})
 	}
@@ -88,7 +89,7 @@
 	discovery := newScriptedDiscovery(t, func(c net.Conn, nth int64, _ string) bool {
 		switch nth {
 		case 1:
-			io.WriteString(c, listResponse(serverList{Version: 1}))
+			io.WriteString(c, listResponse(endpoints.List{Version: 1}))
 		case 2:
 			io.WriteString(c, unavailableResponse)
 		}
@@ -103,7 +104,7 @@
 	}, newStubServer(t, respondOK).entry("s-1"))
 	waitFor(t, "the third call", func() bool { return discovery.calls.Load() == 3 })
 	first, second, third := receive(t, "the first wait", waits), receive(t, "the second wait", waits), receive(t, "the third wait", waits)
-	if max(first, second) > maxAskWait || third < minOverloadWait || third > maxOverloadWait {
+	if max(first, second) > endpoints.MaxAskWait || third < endpoints.MinOverloadWait || third > endpoints.MaxOverloadWait {
 		t.Errorf("waits %v, %v and, after the rejection, %v", first, second, third)
 	}
 }
@@ -121,17 +122,17 @@
 	discovery := newScriptedDiscovery(t, func(c net.Conn, nth int64, _ string) bool {
 		switch nth {
 		case 1:
-			io.WriteString(c, listResponse(serverList{Version: 2, Servers: []serverEntry{second.entry("s-2")}}))
+			io.WriteString(c, listResponse(endpoints.List{Version: 2, Servers: []endpoints.Endpoint{second.entry("s-2")}}))
 		case 2, 3:
 			now.Add(int64(2400 * time.Millisecond))
 			io.WriteString(c, unavailableResponse)
 		case 4:
-			io.WriteString(c, listResponse(serverList{Version: 3, Servers: []serverEntry{draining}}))
+			io.WriteString(c, listResponse(endpoints.List{Version: 3, Servers: []endpoints.Endpoint{draining}}))
 		case 5, 6, 7, 8:
 			now.Add(int64(2400 * time.Millisecond))
 			io.WriteString(c, unavailableResponse)
 		default:
-			t.Errorf("call %d: after %v nothing asks for it", nth, maxAnnounceDelay)
+			t.Errorf("call %d: after %v nothing asks for it", nth, endpoints.MaxAnnounceDelay)
 			return false
 		}
 		return true
@@ -148,7 +149,7 @@
 	})
 	// The grace is 2 s here: the third rejection comes 7.2 s after the latest response, the fourth 9.6 s after it.
 	if calls := discovery.calls.Load(); calls != 8 {
-		t.Errorf("%d calls, want four, and four more of which each but the last was rejected within %v and the grace", calls, maxAnnounceDelay)
+		t.Errorf("%d calls, want four, and four more of which each but the last was rejected within %v and the grace", calls, endpoints.MaxAnnounceDelay)
 	}
 }
 
@@ -163,7 +164,7 @@
 			first, second := newStubServer(t, respondOK), newStubServer(t, respondOK)
 			draining := first.entry("s-1")
 			draining.State = "Terminating"
-			text := listResponse(serverList{Version: 3, Full: true, Servers: []serverEntry{draining, second.entry("s-2")}})
+			text := listResponse(endpoints.List{Version: 3, Full: true, Servers: []endpoints.Endpoint{draining, second.entry("s-2")}})
 			urls := make(chan string, 10)
 			respond := func(c net.Conn, nth int64, url string) bool {
 				switch {
--- a/internal/node/discovery_watch_test.go
+++ b/internal/node/discovery_watch_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -16,72 +15,11 @@
 	"portstall/internal/back"
 	"portstall/internal/control/follow"
 	"portstall/internal/core"
+	"portstall/internal/endpoints"
 	"portstall/internal/lab/standin"
 	"portstall/policy"
 )
 
-// However a watch fails, and however long calls queue at discovery, the next call that discovery may answer is made
-// before the grace of what was missed has passed. Simulated in virtual time, in both modes, with graces of 0.5 and 1 s.
-func TestPollScheduleMeetsDeadlines(t *testing.T) {
-	rng := rand.New(rand.NewPCG(1, 2))
-	for _, push := range []bool{false, true} {
-		for _, grace := range []time.Duration{500 * time.Millisecond, time.Second} {
-			for range 2000 {
-				schedule := &pollSchedule{push: push, grace: grace}
-				started := time.Duration(rng.Int64N(int64(time.Hour)))
-				wait, limit := schedule.callTimes(false, rng.Float64())
-				silentAt := started + time.Duration(rng.Int64N(int64(wait))) // when it fell silent
-				announced := max(silentAt+6*time.Second, started+wait+2*time.Second)
-				now := started + limit
-				delay, retry := schedule.callFailed(now, started+wait, callTimeout, rng.Float64())
-				queueTime := time.Duration(rng.Int64N(int64(2 * time.Second))) // how long the call queues where none failed before
-				failures := rng.IntN(3)                                        // how many calls fail before
-				for range failures {
-					if !retry {
-						t.Fatalf("push %v, grace %v: the loop ends %v before what was missed counts as announced", push, grace, announced-now)
-					}
-					now += delay + 50*time.Millisecond
-					delay, retry = schedule.callFailed(now, 0, callError, rng.Float64())
-				}
-				if now += delay; failures == 0 {
-					now += queueTime
-				}
-				if !retry || now > announced+grace*9/10 {
-					t.Fatalf("push %v, grace %v: a list only at %v, but what was missed counts as announced at %v", push, grace, now-started, announced-started)
-				}
-			}
-			// While the agent of a pushed list is down, no delay exceeds a part of the grace. Elsewhere the policy
-			// decides when to ask.
-			schedule := &pollSchedule{push: push, grace: grace}
-			for range 50 {
-				delay, retry := schedule.callFailed(time.Hour, 0, callError, 0.999)
-				if retry != push || delay > grace/2 {
-					t.Fatalf("push %v, grace %v: delay of %v, retry %v", push, grace, delay, retry)
-				}
-			}
-			// The contents of a response that broke off were announced: it is asked for again within the grace. A
-			// response that always takes longer than its limit gets through in the end.
-			schedule = &pollSchedule{push: push, grace: grace}
-			if timeout := schedule.bodyTimeout(); timeout > grace/2 {
-				t.Errorf("push %v, grace %v: the rest of a response may take %v", push, grace, timeout)
-			}
-			if delay, retry := schedule.callFailed(time.Hour, 0, responseBroken, 0.999); !retry || schedule.delay == 0 || delay > grace/4 {
-				t.Errorf("push %v, grace %v: after a broken response, delay of %v, retry %v", push, grace, delay, retry)
-			}
-			for range 8 {
-				schedule.callFailed(time.Hour, 0, responseBroken, 0)
-			}
-			if timeout := schedule.bodyTimeout(); timeout != fetchTimeout {
-				t.Errorf("push %v, grace %v: slow responses may take %v in the end", push, grace, timeout)
-			}
-			schedule.requireFresh(time.Hour)
-			if _, retry := schedule.callFailed(time.Hour+grace/2, 0, callError, 0); !retry {
-				t.Errorf("push %v, grace %v: the loop ends though a list is due", push, grace)
-			}
-		}
-	}
-}
-
 // timerlessClock is a clock whose timers never fire: nothing that the policy wants later is done.
 type timerlessClock struct{ core.Clock }
 
@@ -124,7 +62,7 @@
 }
 
 // listResponse is a response of discovery as it is sent, with the JSON indented.
-func listResponse(response serverList) string {
+func listResponse(response endpoints.List) string {
 	text, _ := json.MarshalIndent(response, "", "\t")
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
 }
@@ -141,7 +79,7 @@
 					first, second := newStubServer(t, respondOK), newStubServer(t, respondOK)
 					draining := first.entry("s-1")
 					draining.State = "Terminating"
-					text := listResponse(serverList{Version: 2, Servers: []serverEntry{draining}})
+					text := listResponse(endpoints.List{Version: 2, Servers: []endpoints.Endpoint{draining}})
 					sentBytes := map[string]int{"the call": 0, "the head": strings.Index(text, "\r\n\r\n") + 4, "half a body": len(text) - 9}[silentAfter]
 					urls := make(chan string, 10)
 					discovery := newScriptedDiscovery(t, func(c net.Conn, nth int64, url string) bool {
@@ -192,7 +130,7 @@
 			first, second := newStubServer(t, respondOK), newStubServer(t, respondOK)
 			draining := first.entry("s-1")
 			draining.State = "Terminating"
-			text := listResponse(serverList{Version: 2, Servers: []serverEntry{draining}})
+			text := listResponse(endpoints.List{Version: 2, Servers: []endpoints.Endpoint{draining}})
 			discovery := newScriptedDiscovery(t, func(c net.Conn, nth int64, _ string) bool {
 				switch {
 				case nth > 1:
@@ -224,7 +162,7 @@
 	server := newStubServer(t, respondOK)
 	draining := server.entry("s-1")
 	draining.State = "Terminating"
-	text := listResponse(serverList{Version: 2, Servers: []serverEntry{draining}})
+	text := listResponse(endpoints.List{Version: 2, Servers: []endpoints.Endpoint{draining}})
 	var now, reads atomic.Int64
 	now.Store(int64(time.Hour))
 	callStarted, sendRest := make(chan int64), make(chan struct{})
@@ -267,7 +205,7 @@
 func TestOlderListDoesNotUndoDrain(t *testing.T) {
 	t.Parallel()
 	first, second := newStubServer(t, respondOK), newStubServer(t, respondOK)
-	entry := func(state string) serverEntry {
+	entry := func(state string) endpoints.Endpoint {
 		current := first.entry("s-1")
 		current.State = state
 		return current
@@ -280,7 +218,7 @@
 				return server == nil || server.StopAt.Load() != 0
 			}
 			discovery := node.discovery
-			applyFull := func(l serverList) {
+			applyFull := func(l endpoints.List) {
 				if source == "reload" {
 					node.core.Lock()
 					discovery.fullListPending = true
@@ -288,22 +226,22 @@
 				}
 				discovery.applyResponse(&l, policy.ListFull, true)
 			}
-			discovery.applyResponse(&serverList{Version: 9, Servers: []serverEntry{entry(state)}}, policy.ListDelta, true)
+			discovery.applyResponse(&endpoints.List{Version: 9, Servers: []endpoints.Endpoint{entry(state)}}, policy.ListDelta, true)
 			if state == "Gone" {
 				waitFor(t, "the end of the grace", func() bool { return node.serverByID("s-1") == nil })
 			}
-			applyFull(serverList{Version: 8, Full: true, Servers: []serverEntry{entry("Ready"), second.entry("s-2")}})
+			applyFull(endpoints.List{Version: 8, Full: true, Servers: []endpoints.Endpoint{entry("Ready"), second.entry("s-2")}})
 			if !isDrained() {
 				t.Errorf("%s, announced %s: an older list brings it back", source, state)
 			}
 			restarted := entry("Ready")
 			restarted.StartedMS = time.Now().UnixMilli()
-			applyFull(serverList{Version: 7, Full: true, Servers: []serverEntry{restarted, second.entry("s-2")}})
+			applyFull(endpoints.List{Version: 7, Full: true, Servers: []endpoints.Endpoint{restarted, second.entry("s-2")}})
 			if isDrained() {
 				t.Errorf("%s, announced %s: an older list with a later start does not bring it back", source, state)
 			}
-			discovery.applyResponse(&serverList{Version: 10, Servers: []serverEntry{entry("Terminating")}}, policy.ListDelta, true)
-			discovery.applyResponse(&serverList{Version: 11, Servers: []serverEntry{entry("Ready")}}, policy.ListDelta, true)
+			discovery.applyResponse(&endpoints.List{Version: 10, Servers: []endpoints.Endpoint{entry("Terminating")}}, policy.ListDelta, true)
+			discovery.applyResponse(&endpoints.List{Version: 11, Servers: []endpoints.Endpoint{entry("Ready")}}, policy.ListDelta, true)
 			if isDrained() {
 				t.Errorf("%s, announced %s: a later list does not bring it back", source, state)
 			}
@@ -321,7 +259,7 @@
 	again := server.entry("s-1")
 	again.StartedMS = time.Now().UnixMilli()
 	other := server.entry("s-9")
-	for name, next := range map[string]serverEntry{"restarted": again, "moved": moved, "another id there": other} {
+	for name, next := range map[string]endpoints.Endpoint{"restarted": again, "moved": moved, "another id there": other} {
 		node := newTestNode(t, newStubDiscovery(t), strings.Replace(settingsJSON, `"drain_grace_s":2`, `"drain_grace_s":0.001`, 1), nil, server.entry("s-1"))
 		held := node.serverByID("s-1").Server
 		node.publishList(2, next)
--- a/internal/node/faults_test.go
+++ b/internal/node/faults_test.go
@@ -16,6 +16,7 @@
 
 	"go.uber.org/goleak"
 
+	"portstall/internal/endpoints"
 	"portstall/internal/flow"
 	"portstall/internal/lab/oracle"
 	"portstall/internal/lab/standin"
@@ -124,7 +125,7 @@
 	{name: "an older list after a newer one", inject: func(c *trial) {
 		c.publishList(c.healthy.entry("Ready"))
 		n := c.current()
-		n.discovery.applyResponse(&serverList{Version: 1, Full: true, Servers: c.entries(c.targets, "Ready")}, policy.ListFull, false)
+		n.discovery.applyResponse(&endpoints.List{Version: 1, Full: true, Servers: c.entries(c.targets, "Ready")}, policy.ListFull, false)
 		c.recordNotified(c.targets...)
 	}},
 	{name: "the server is silent", shortTimeout: true, inject: func(c *trial) {
@@ -191,7 +192,7 @@
 		set, err := wire.DecodeSettings([]byte(trialSettings))
 		must(c.t, err)
 		other := newStubDiscovery(c.t)
-		other.responses <- discoveryResponse{200, serverList{Version: 1, Full: true, Servers: []serverEntry{c.healthy.entry("Ready")}}}
+		other.responses <- discoveryResponse{200, endpoints.List{Version: 1, Full: true, Servers: []endpoints.Endpoint{c.healthy.entry("Ready")}}}
 		c.current().reload(Config{Discovery: other.addr, Settings: set})
 		waitFor(c.t, "the other discovery's list", func() bool { return c.current().serverByID(c.healthy.id) != nil })
 		c.recordNotified(c.targets...)
@@ -503,7 +504,7 @@
 }
 
 // entries returns the list entries of servers in the given state, and of more as ready.
-func (c *trial) entries(of []*stagedServer, state string, more ...*stagedServer) (all []serverEntry) {
+func (c *trial) entries(of []*stagedServer, state string, more ...*stagedServer) (all []endpoints.Endpoint) {
 	for _, s := range of {
 		all = append(all, s.entry(state))
 	}
@@ -514,18 +515,18 @@
 }
 
 // publishList applies a full list to the node.
-func (c *trial) publishList(servers ...serverEntry) {
+func (c *trial) publishList(servers ...endpoints.Endpoint) {
 	c.version++
 	c.current().publishList(c.version, servers...)
 }
 
 // publishDelta applies a delta to the node.
-func (c *trial) publishDelta(servers ...serverEntry) {
+func (c *trial) publishDelta(servers ...endpoints.Endpoint) {
 	n := c.current()
 	n.core.Lock()
 	defer n.core.Unlock()
 	c.version++
-	n.applyList(&serverList{Version: c.version, Servers: servers}, policy.ListDelta)
+	n.applyList(&endpoints.List{Version: c.version, Servers: servers}, policy.ListDelta)
 }
 
 // recordNotified records that the node knows that servers are to get nothing new, and returns once their grace is over:
--- a/internal/node/handover_bench_test.go
+++ b/internal/node/handover_bench_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"portstall/internal/core"
+	"portstall/internal/endpoints"
 	"portstall/internal/flow"
 	"portstall/internal/state"
 )
@@ -19,9 +20,9 @@
 func BenchmarkHandover(b *testing.B) {
 	for _, servers := range []int{12, 1000, 10_000} {
 		b.Run(fmt.Sprint(servers), func(b *testing.B) {
-			var known []serverEntry
+			var known []endpoints.Endpoint
 			for i := range servers {
-				known = append(known, serverEntry{ID: fmt.Sprint("web-server-", i), Addr: fmt.Sprintf("10.1.%d.%d:8080", i/250, i%250), Zone: "north", Kind: "standard", State: "Ready"})
+				known = append(known, endpoints.Endpoint{ID: fmt.Sprint("web-server-", i), Addr: fmt.Sprintf("10.1.%d.%d:8080", i/250, i%250), Zone: "north", Kind: "standard", State: "Ready"})
 			}
 			old := newTestNode(b, newStubDiscovery(b), settingsJSON, nil, known...)
 			old.core.Lock()
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"portstall/internal/endpoints"
 	"portstall/internal/flow"
 )
 
@@ -28,7 +29,7 @@
 	busy.send(quote("open").text())
 	waitFor(t, "the request at the web server", func() bool { return len(serverA.requests()) == 1 })
 	idle.roundTrip(view("v"))
-	old.publishList(7, serverA.entry("s-1"), serverB.entry("s-2"), serverEntry{ID: "s-3", Addr: "127.0.0.1:1", State: "Terminating"})
+	old.publishList(7, serverA.entry("s-1"), serverB.entry("s-2"), endpoints.Endpoint{ID: "s-3", Addr: "127.0.0.1:1", State: "Terminating"})
 	must(t, old.Disable(ctx, "s-1"))
 	must(t, old.Disable(ctx, "s-2"))
 	must(t, old.Enable(ctx, "s-2"))
--- a/internal/node/headless_test.go
+++ b/internal/node/headless_test.go
@@ -7,6 +7,7 @@
 	"go.uber.org/goleak"
 
 	"portstall/internal/config"
+	"portstall/internal/endpoints"
 	"portstall/internal/lab/standin"
 	"portstall/internal/resource"
 	"portstall/internal/wire"
@@ -21,7 +22,7 @@
 		t.Fatal(err)
 	}
 	cfg := Config{Name: "h", Discovery: discovery.addr, Seed: 1, Settings: set, AcceptFD: 99, adjustWatch: longPollLimits,
-		Known: serverList{Version: 4, Full: true, Servers: []serverEntry{{ID: "a", Addr: "127.0.0.1:1", State: "Ready"}}}}
+		Known: endpoints.List{Version: 4, Full: true, Servers: []endpoints.Endpoint{{ID: "a", Addr: "127.0.0.1:1", State: "Ready"}}}}
 	node, err := StartHeadless(cfg, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
@@ -29,7 +30,7 @@
 	if status := node.Status(); status != (HeadlessStatus{ListVersion: 4, Servers: 1}) {
 		t.Errorf("at the start: %+v", status)
 	}
-	discovery.responses <- discoveryResponse{200, serverList{Version: 6, Servers: []serverEntry{{ID: "b", Addr: "127.0.0.1:2", State: "Ready"}}}}
+	discovery.responses <- discoveryResponse{200, endpoints.List{Version: 6, Servers: []endpoints.Endpoint{{ID: "b", Addr: "127.0.0.1:2", State: "Ready"}}}}
 	waitFor(t, "the change", func() bool { return node.Status() == HeadlessStatus{ListVersion: 6, Servers: 2} })
 	waitFor(t, "the next watch", func() bool { return len(discovery.calls()) == 2 })
 	node.Close()
--- a/internal/node/health_test.go
+++ b/internal/node/health_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"portstall/internal/endpoints"
 	"portstall/internal/lab/standin"
 )
 
@@ -19,7 +20,7 @@
 	*testNode
 	servers     []*stubServer
 	agents      []*standin.Agent
-	entries     []serverEntry
+	entries     []endpoints.Endpoint
 	afterReport atomic.Bool // marks requests from now on in their IDs
 }
 
@@ -159,14 +160,14 @@
 	node.agents[0].Reply("down\n")
 	node.waitForHealth(t, 0, "down again", isOutOfService)
 	node.agents[0].Reply("")
-	started := append([]serverEntry(nil), node.entries...)
+	started := append([]endpoints.Endpoint(nil), node.entries...)
 	started[0].StartedMS = time.Now().UnixMilli()
 	node.publishList(2, started...)
 	node.waitForHealth(t, 0, "a new start", isHealthy)
 	node.agents[1].Reply("drain\n")
 	node.waitForHealth(t, 1, "a drain", isOutOfService)
 	node.agents[1].Reply("")
-	node.publishList(3, append(append([]serverEntry(nil), started[0]), started[2:]...)...)
+	node.publishList(3, append(append([]endpoints.Endpoint(nil), started[0]), started[2:]...)...)
 	if _, err := node.healthOf("s-1"); err == nil {
 		t.Error("a server that is not listed is checked")
 	}
@@ -229,7 +230,7 @@
 	var status atomic.Int64
 	status.Store(200)
 	var servers []*stubServer
-	var list []serverEntry
+	var list []endpoints.Endpoint
 	for i := range 3 {
 		server := newStubServer(t, func(c net.Conn, r *http.Request, nth int) bool {
 			if i == 0 && r.URL.Path == "/health" {
--- a/internal/node/members_test.go
+++ b/internal/node/members_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"portstall/internal/config"
+	"portstall/internal/endpoints"
 	"portstall/internal/member"
 )
 
@@ -59,7 +60,7 @@
 		return withProductFile(t, "health: {checks: {interval: 1h, tcp: {}}}\n"+instances.productFile(i, count, also...))
 	}
 	failing := newStubServer(t, respondOK)
-	list := []serverEntry{failing.entry("s-0"), newStubServer(t, respondOK).entry("s-1")}
+	list := []endpoints.Endpoint{failing.entry("s-0"), newStubServer(t, respondOK).entry("s-1")}
 	var nodes []*testNode
 	for i := range count {
 		node := newTestNode(t, newStubDiscovery(t), settingsJSON, file(i), list...)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"portstall/internal/config"
 	"portstall/internal/contract"
 	"portstall/internal/core"
+	"portstall/internal/endpoints"
 	"portstall/internal/flow"
 	fronthttp "portstall/internal/front/http"
 	"portstall/internal/front/tunnel"
@@ -96,9 +97,9 @@
 	number uint32 // the policy's number for it
 	// When the process started as discovery says, in Unix milliseconds.
 	startedMS int64
-	listEntry *serverEntry // its latest entry in the server list; replaced, never changed
-	removed   bool         // it is no longer listed
-	removals  int          // how often it was removed from the list
+	listEntry *endpoints.Endpoint // its latest entry in the server list; replaced, never changed
+	removed   bool                // it is no longer listed
+	removals  int                 // how often it was removed from the list
 }
 
 // Change is a configuration that was read again.
@@ -218,7 +219,7 @@
 	return n, func() {
 		n.core.Close()
 		n.checker.stop()
-		n.discovery.http.CloseIdleConnections()
+		n.discovery.client.CloseIdle()
 		n.pool.Stop()
 	}, nil
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -21,6 +21,7 @@
 	"golang.org/x/sys/unix"
 
 	"portstall/internal/core"
+	"portstall/internal/endpoints"
 	"portstall/internal/flow"
 	fronthttp "portstall/internal/front/http"
 	"portstall/internal/lab/standin"
@@ -446,7 +447,7 @@
 	node := newTestNode(t, discoveryStub, settingsJSON, nil, server.entry("s-1"))
 	c := node.dial(t)
 	c.roundTrip(view("x"))
-	discoveryStub.responses <- discoveryResponse{200, serverList{Version: 2, Servers: []serverEntry{server.entry("s-2")}}}
+	discoveryStub.responses <- discoveryResponse{200, endpoints.List{Version: 2, Servers: []endpoints.Endpoint{server.entry("s-2")}}}
 	waitFor(t, "the new list", func() bool {
 		node.core.Lock()
 		defer node.core.Unlock()
@@ -471,7 +472,7 @@
 		t.Fatal(err)
 	}
 	ln.Close()
-	node := newTestNode(t, newStubDiscovery(t), settingsJSON, nil, serverEntry{ID: "s-1", Addr: ln.Addr().String(), State: "Ready"})
+	node := newTestNode(t, newStubDiscovery(t), settingsJSON, nil, endpoints.Endpoint{ID: "s-1", Addr: ln.Addr().String(), State: "Ready"})
 	if resp, _ := node.dial(t).roundTrip(quote("q")); resp.StatusCode != 503 {
 		t.Errorf("status %d, want 503", resp.StatusCode)
 	}
@@ -613,7 +614,7 @@
 	discoveryStub.responses <- discoveryResponse{status: 503} // a failed call is retried
 	draining := old.entry("s-1")
 	draining.State = "Terminating"
-	discoveryStub.responses <- discoveryResponse{200, serverList{Version: 2, Servers: []serverEntry{draining, fresh.entry("s-2")}}}
+	discoveryStub.responses <- discoveryResponse{200, endpoints.List{Version: 2, Servers: []endpoints.Endpoint{draining, fresh.entry("s-2")}}}
 	waitFor(t, "a response of the new web server", respondsFrom(fresh))
 	sent := len(old.requests())
 	for range 20 {
@@ -624,18 +625,18 @@
 	if n := len(old.requests()); n != sent {
 		t.Errorf("a draining web server received %d new requests", n-sent)
 	}
-	discoveryStub.responses <- discoveryResponse{200, serverList{Version: 3, Full: true, Servers: []serverEntry{fresh.entry("s-2")}}}
+	discoveryStub.responses <- discoveryResponse{200, endpoints.List{Version: 3, Full: true, Servers: []endpoints.Endpoint{fresh.entry("s-2")}}}
 	select {
 	case <-old.closedByNode:
 	case <-time.After(testTimeout):
 		t.Fatal("connections to a web server that a full list leaves out stay open")
 	}
 	moved := old.entry("s-2") // the same id and start time at another address is another process
-	discoveryStub.responses <- discoveryResponse{200, serverList{Version: 4, Servers: []serverEntry{moved}}}
+	discoveryStub.responses <- discoveryResponse{200, endpoints.List{Version: 4, Servers: []endpoints.Endpoint{moved}}}
 	waitFor(t, "a response from the new address", respondsFrom(old))
 	gone := moved
 	gone.State = "Gone"
-	discoveryStub.responses <- discoveryResponse{200, serverList{Version: 5, Servers: []serverEntry{gone}}}
+	discoveryStub.responses <- discoveryResponse{200, endpoints.List{Version: 5, Servers: []endpoints.Endpoint{gone}}}
 	waitFor(t, "a refusal with no web server left", func() bool {
 		resp, _ := c.roundTrip(view("x"))
 		return resp.StatusCode == 503
@@ -661,7 +662,7 @@
 			t.Parallel()
 			before, after := newStubServer(t, respondOK), newStubServer(t, respondOK)
 			oldDiscovery, newDiscoveryStub := newStubDiscovery(t), newStubDiscovery(t)
-			oldDiscovery.responses <- discoveryResponse{200, serverList{Version: 700, Full: true, Servers: []serverEntry{before.entry("s-1")}}}
+			oldDiscovery.responses <- discoveryResponse{200, endpoints.List{Version: 700, Full: true, Servers: []endpoints.Endpoint{before.entry("s-1")}}}
 			node := newTestNode(t, oldDiscovery, strings.Replace(settingsJSON, `"push"`, `"`+mode+`"`, 1), func(c *Config) { c.adjustWatch = longPollLimits })
 			c := node.dial(t)
 			waitFor(t, "a response of the old discovery's web server", func() bool {
@@ -672,7 +673,7 @@
 			cfg := node.cfg
 			cfg.Discovery = newDiscoveryStub.addr
 			newDiscoveryStub.responses <- discoveryResponse{status: 503} // the new discovery may fail at first
-			newDiscoveryStub.responses <- discoveryResponse{200, serverList{Version: 3, Full: true, Servers: []serverEntry{after.entry("s-2")}}}
+			newDiscoveryStub.responses <- discoveryResponse{200, endpoints.List{Version: 3, Full: true, Servers: []endpoints.Endpoint{after.entry("s-2")}}}
 			node.reload(cfg)
 			select {
 			case <-oldDiscovery.abandoned:
@@ -706,7 +707,7 @@
 	server := newStubServer(t, respondOK)
 	discoveryStub := newStubDiscovery(t)
 	discoveryStub.responses <- discoveryResponse{status: 503}
-	discoveryStub.responses <- discoveryResponse{200, serverList{Version: 2, Full: true, Servers: []serverEntry{server.entry("s-1")}}}
+	discoveryStub.responses <- discoveryResponse{200, endpoints.List{Version: 2, Full: true, Servers: []endpoints.Endpoint{server.entry("s-1")}}}
 	node := newTestNode(t, discoveryStub, strings.Replace(settingsJSON, `"push"`, `"ask"`, 1), nil)
 	c := node.dial(t)
 	waitFor(t, "a response after the list of the second call", func() bool {
@@ -733,7 +734,7 @@
 	if s := readyStatus(t, node); s != 503 {
 		t.Errorf("GET /ready without a web server: status %d, want 503", s)
 	}
-	discoveryStub.responses <- discoveryResponse{200, serverList{Version: 2, Full: true, Servers: []serverEntry{server.entry("s-1")}}}
+	discoveryStub.responses <- discoveryResponse{200, endpoints.List{Version: 2, Full: true, Servers: []endpoints.Endpoint{server.entry("s-1")}}}
 	waitFor(t, "GET /ready to return 200", func() bool { return readyStatus(t, node) == 200 })
 }
 
@@ -1023,9 +1024,9 @@
 	node := newTestNode(t, discoveryStub, settingsJSON, nil, server.entry("s-1"))
 	c := node.dial(t)
 	c.roundTrip(view("x"))
-	discoveryStub.responses <- discoveryResponse{200, serverList{Version: 2, Full: true}}
-	discoveryStub.responses <- discoveryResponse{200, serverList{Version: 3, Full: true, Servers: []serverEntry{server.entry("s-1")}}}
-	discoveryStub.responses <- discoveryResponse{200, serverList{Version: 3, Full: true, Servers: []serverEntry{server.entry("s-1")}}}
+	discoveryStub.responses <- discoveryResponse{200, endpoints.List{Version: 2, Full: true}}
+	discoveryStub.responses <- discoveryResponse{200, endpoints.List{Version: 3, Full: true, Servers: []endpoints.Endpoint{server.entry("s-1")}}}
+	discoveryStub.responses <- discoveryResponse{200, endpoints.List{Version: 3, Full: true, Servers: []endpoints.Endpoint{server.entry("s-1")}}}
 	waitFor(t, "the list after the empty one", func() bool {
 		node.core.Lock()
 		defer node.core.Unlock()
@@ -1071,7 +1072,7 @@
 		return info.Unacked > info.Sacked // of a listener: how many connections wait, and how many may
 	})
 	node := newTestNode(t, newStubDiscovery(t), strings.Replace(settingsJSON, `"connect_timeout_s":5`, `"connect_timeout_s":0.2`, 1), nil,
-		serverEntry{ID: "s-1", Addr: addr, State: "Ready"})
+		endpoints.Endpoint{ID: "s-1", Addr: addr, State: "Ready"})
 	if resp, _ := node.dial(t).roundTrip(quote("q")); resp.StatusCode != 503 {
 		t.Errorf("status %d, want 503", resp.StatusCode)
 	}
--- a/internal/node/opaque_tunnel_test.go
+++ b/internal/node/opaque_tunnel_test.go
@@ -23,6 +23,7 @@
 
 	backtunnel "portstall/internal/back/tunnel"
 	"portstall/internal/core"
+	"portstall/internal/endpoints"
 	"portstall/internal/lab/standin"
 	"portstall/internal/message"
 	"portstall/policy"
@@ -76,13 +77,13 @@
 }
 
 // entry returns the server's entry in a server list, as ready.
-func (s *echoServer) entry(id string) serverEntry {
-	return serverEntry{ID: id, Addr: s.ln.Addr().String(), Zone: "north", Kind: "k", State: "Ready"}
+func (s *echoServer) entry(id string) endpoints.Endpoint {
+	return endpoints.Endpoint{ID: id, Addr: s.ln.Addr().String(), Zone: "north", Kind: "k", State: "Ready"}
 }
 
 // newOpaqueNode starts a node with an opaque route; limits are further fields of the route, more is the rest of the
 // section tunnels and of the file.
-func newOpaqueNode(t testing.TB, limits, more string, known ...serverEntry) (node *testNode, socks, connect string) {
+func newOpaqueNode(t testing.TB, limits, more string, known ...endpoints.Endpoint) (node *testNode, socks, connect string) {
 	t.Helper()
 	socks, connect = freeAddr(t), freeAddr(t)
 	product := withProductFile(t, fmt.Sprintf(`services: [{name: lines}]
@@ -160,11 +161,11 @@
 				}
 				down := target.entry("s-2")
 				down.Addr = freeAddr(t)
-				known := []serverEntry{target.entry("s-1")}
+				known := []endpoints.Endpoint{target.entry("s-1")}
 				reachable := true
 				switch trouble {
 				case "server down":
-					known, reachable = []serverEntry{down}, false
+					known, reachable = []endpoints.Endpoint{down}, false
 				case "one of two down":
 					known = append(known, down)
 				case "proxy down":
@@ -419,7 +420,7 @@
 	}
 	for _, disabled := range []bool{false, true} {
 		one, two := newEchoServer(t, nil), newEchoServer(t, nil)
-		var fleet, draining []serverEntry // one process under many ids, as the policy lets each hold about a hundred before it knows more
+		var fleet, draining []endpoints.Endpoint // one process under many ids, as the policy lets each hold about a hundred before it knows more
 		for i := range 14 {
 			e := one.entry(fmt.Sprint("s-", i))
 			fleet = append(fleet, e)
@@ -499,7 +500,7 @@
 	t.Parallel()
 	web := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "hello "+r.Host) }))
 	defer web.Close()
-	_, socks, connect := newOpaqueNode(t, "", "", serverEntry{ID: "s-1", Addr: web.Listener.Addr().String(), Zone: "north", Kind: "k", State: "Ready"})
+	_, socks, connect := newOpaqueNode(t, "", "", endpoints.Endpoint{ID: "s-1", Addr: web.Listener.Addr().String(), Zone: "north", Kind: "k", State: "Ready"})
 	for _, proxyURL := range []string{"http://" + connect, "socks5://" + socks} {
 		u, err := url.Parse(proxyURL)
 		must(t, err)
@@ -641,7 +642,7 @@
 				var one [1]byte
 				c.Read(one[:])
 			})
-			var servers []serverEntry
+			var servers []endpoints.Endpoint
 			for i := range 60 {
 				servers = append(servers, target.entry(fmt.Sprint("s-", i)))
 			}
--- a/internal/node/operation_test.go
+++ b/internal/node/operation_test.go
@@ -11,14 +11,15 @@
 	"time"
 
 	"portstall/internal/back"
+	"portstall/internal/endpoints"
 	"portstall/internal/mgmt"
 )
 
 // publishList applies a full list to the node.
-func (n *testNode) publishList(version int64, servers ...serverEntry) {
+func (n *testNode) publishList(version int64, servers ...endpoints.Endpoint) {
 	n.core.Lock()
 	defer n.core.Unlock()
-	n.applyList(&serverList{Version: version, Full: true, Servers: servers}, 1)
+	n.applyList(&endpoints.List{Version: version, Full: true, Servers: servers}, 1)
 }
 
 // must fails the test at once if there is an error.
--- a/internal/node/reload_deadline_test.go
+++ b/internal/node/reload_deadline_test.go
@@ -25,7 +25,7 @@
 	t.Helper()
 	set, err := wire.DecodeSettings([]byte(text))
 	must(t, err)
-	must(t, n.reload(Config{Discovery: n.discovery.addr, Settings: set}))
+	must(t, n.reload(Config{Discovery: n.discovery.client.Addr(), Settings: set}))
 }
 
 // newHoldingServer returns a web server that responds to a request only after hold.
--- a/internal/node/retry_location_test.go
+++ b/internal/node/retry_location_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"portstall/internal/endpoints"
 	"portstall/policy"
 )
 
@@ -15,7 +16,7 @@
 // break after it may have run, the second one only once it is released; any further one is served.
 type podServers struct {
 	servers map[string]*stubServer // by id
-	entries []serverEntry
+	entries []endpoints.Endpoint
 	sent    chan string // ids of the servers, as attempts arrive
 	release chan struct{}
 }
@@ -43,7 +44,7 @@
 }
 
 // entry returns a list's entry for the server that was started as the given one, under an id of the same pod.
-func (p *podServers) entry(id, started string) serverEntry {
+func (p *podServers) entry(id, started string) endpoints.Endpoint {
 	e := p.servers[started].entry(id)
 	e.Zone, e.Cell = "north", 1
 	if strings.HasPrefix(id, "b-") {
@@ -65,8 +66,8 @@
 }
 
 // without returns the list without the servers that drop returns true for.
-func (p *podServers) without(drop func(id string) bool) []serverEntry {
-	return slices.DeleteFunc(slices.Clone(p.entries), func(e serverEntry) bool { return drop(e.ID) })
+func (p *podServers) without(drop func(id string) bool) []endpoints.Endpoint {
+	return slices.DeleteFunc(slices.Clone(p.entries), func(e endpoints.Endpoint) bool { return drop(e.ID) })
 }
 
 // Guards against a keyed request that runs in two pods while the server that it may have run on is replaced: by a whole
@@ -75,9 +76,9 @@
 	t.Parallel()
 	type update struct {
 		kind    policy.ListKind
-		entries []serverEntry
+		entries []endpoints.Endpoint
 	}
-	one := func(kind policy.ListKind, entries ...serverEntry) []update { return []update{{kind, entries}} }
+	one := func(kind policy.ListKind, entries ...endpoints.Endpoint) []update { return []update{{kind, entries}} }
 	for name, c := range map[string]struct {
 		updates func(p *podServers, tried, pod string) []update
 		status  int
@@ -95,10 +96,10 @@
 			return one(policy.ListDelta, p.entry(tried, pod+"spare"))
 		}, 200},
 		"gone, delta with its id alone": {func(p *podServers, tried, pod string) []update {
-			return one(policy.ListDelta, serverEntry{ID: tried, State: "Gone"})
+			return one(policy.ListDelta, endpoints.Endpoint{ID: tried, State: "Gone"})
 		}, 200},
 		"drains, delta with its id alone": {func(p *podServers, tried, pod string) []update {
-			return one(policy.ListDelta, serverEntry{ID: tried, State: "Terminating"})
+			return one(policy.ListDelta, endpoints.Endpoint{ID: tried, State: "Terminating"})
 		}, 200},
 		"not in a whole list": {func(p *podServers, tried, pod string) []update {
 			return one(policy.ListFull, p.without(func(id string) bool { return id == tried })...)
@@ -142,7 +143,7 @@
 				pod := tried[:2]
 				for i, u := range c.updates(p, tried, pod) {
 					node.core.Lock()
-					node.applyList(&serverList{Version: int64(i + 10), Full: u.kind == policy.ListFull, Servers: u.entries}, u.kind)
+					node.applyList(&endpoints.List{Version: int64(i + 10), Full: u.kind == policy.ListFull, Servers: u.entries}, u.kind)
 					node.core.Unlock()
 				}
 				close(p.release)
--- a/internal/node/robustness_test.go
+++ b/internal/node/robustness_test.go
@@ -19,6 +19,7 @@
 	"portstall/internal/back"
 	"portstall/internal/contract"
 	"portstall/internal/core"
+	"portstall/internal/endpoints"
 	"portstall/internal/flow"
 	"portstall/internal/handover"
 	"portstall/internal/upgrade"
@@ -108,7 +109,7 @@
 	server := newStubServer(t, respondOK)
 	far := server.entry("s-2")
 	far.StartedMS = 1 << 62
-	node := newTestNode(t, newStubDiscovery(t), settingsJSON, nil, server.entry("s-1"), serverEntry{ID: "s-9", State: "Ready"}, serverEntry{Addr: "127.0.0.1:1", State: "Ready"}, far)
+	node := newTestNode(t, newStubDiscovery(t), settingsJSON, nil, server.entry("s-1"), endpoints.Endpoint{ID: "s-9", State: "Ready"}, endpoints.Endpoint{Addr: "127.0.0.1:1", State: "Ready"}, far)
 	node.core.Lock()
 	if len(node.serversByID) != 2 || node.serversByID["s-1"] == nil || node.serversByID["s-2"] == nil {
 		t.Errorf("%d web servers, want s-1 and s-2 alone", len(node.serversByID))
@@ -119,7 +120,7 @@
 			t.Errorf("request %d: status %d, want 200", i, resp.StatusCode)
 		}
 	}
-	node.publishList(2, serverEntry{ID: "s-1", State: "Gone"}, far) // the address of a known server may be missing
+	node.publishList(2, endpoints.Endpoint{ID: "s-1", State: "Gone"}, far) // the address of a known server may be missing
 	if node.serverByID("s-1") != nil && !node.serverByID("s-1").removed {
 		t.Error("a web server that was listed as gone is still listed")
 	}
@@ -138,7 +139,7 @@
 	node := nodes[0]
 	waitFor(t, "both nodes to join", func() bool { return node.members().Alive == 2 && len(node.members().Members) == 1 })
 	cfg := node.cfg
-	cfg.Discovery = node.discovery.addr
+	cfg.Discovery = node.discovery.client.Addr()
 	cfg.Settings.Policy.MaxAttempts = 1
 	withProductFile(t, peers.productFile(0, 1)+"cells: {size: 2}\n")(&cfg)
 	node.reload(cfg)
@@ -276,7 +277,7 @@
 	serverA, serverB := newStubServer(t, report), newStubServer(t, report)
 	node := newTestNode(t, newStubDiscovery(t), settingsJSON, withProductFile(t, teamContractsYAML+"- {name: rest}\nhealth: {checks: {interval: 100ms, tcp: {}}}\n"), serverA.entry("s-1"), serverB.entry("s-2"))
 	cfg := node.cfg
-	cfg.Discovery = node.discovery.addr
+	cfg.Discovery = node.discovery.client.Addr()
 	set, err := wire.DecodeSettings([]byte(strings.Replace(settingsJSON, `"max_attempts":3`, `"max_attempts":2`, 1)))
 	must(t, err)
 	var sent, answered atomic.Int64
@@ -319,7 +320,7 @@
 			e.State = []string{"Ready", "Terminating", "Ready"}[n%3]
 			node.core.Lock()
 			defer node.core.Unlock()
-			node.applyList(&serverList{Version: node.listVersion, Servers: []serverEntry{e}}, policy.ListDelta)
+			node.applyList(&endpoints.List{Version: node.listVersion, Servers: []endpoints.Endpoint{e}}, policy.ListDelta)
 		},
 		func(n int) { node.Disable(ctx, "s-1"); node.Enable(ctx, "s-1") },
 		func(n int) {
--- a/internal/node/rules_test.go
+++ b/internal/node/rules_test.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"portstall/internal/back"
+	"portstall/internal/endpoints"
 	"portstall/internal/lab/oracle"
 )
 
@@ -184,8 +185,8 @@
 }
 
 // entry returns the server's entry in a server list.
-func (s *stagedServer) entry(state string) serverEntry {
-	return serverEntry{ID: s.id, Addr: s.ln.Addr().String(), Zone: "north", Kind: "k", State: state}
+func (s *stagedServer) entry(state string) endpoints.Endpoint {
+	return endpoints.Endpoint{ID: s.id, Addr: s.ln.Addr().String(), Zone: "north", Kind: "k", State: state}
 }
 
 // accept serves connections until the listener is closed.
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -190,7 +190,7 @@
 	}
 	n.log.Info("new settings applied", "classes", len(cfg.Settings.Policy.Classes),
 		"max_attempts", cfg.Settings.Policy.MaxAttempts)
-	if cfg.Discovery != n.discovery.addr {
+	if cfg.Discovery != n.discovery.client.Addr() {
 		n.switchDiscovery(cfg.Discovery)
 	}
 	return nil
--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -36,7 +36,7 @@
 		`"name":"quote","aim_s":30,"deadline_s":60,"gain":2,"effect":"free"`, `"max_attempts":3`, `"max_attempts":1`).Replace(settingsJSON)
 	set, err := wire.DecodeSettings([]byte(text))
 	must(t, err)
-	node.reload(Config{Discovery: node.discovery.addr, Settings: set})
+	node.reload(Config{Discovery: node.discovery.client.Addr(), Settings: set})
 	for _, request := range []testRequest{{"GET", "look", "a", "", "", "50000m"}, {"GET", "quote", "b", "", "", "50000m"}, quote("c"), view("d")} {
 		if resp, _ := late.roundTrip(request); resp.StatusCode != 200 {
 			t.Errorf("%s %s just after the reload: %d", request.method, request.class, resp.StatusCode)
--- a/internal/node/snapshot.go
+++ b/internal/node/snapshot.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"portstall/internal/cell"
+	"portstall/internal/endpoints"
 	"portstall/internal/handover"
 	"portstall/internal/state"
 	"portstall/policy"
@@ -20,7 +21,7 @@
 		Disabled: slices.Collect(maps.Keys(n.overrides.disabled)), Enabled: timeList(n.overrides.enabledAt), Contracts: n.core.ContractStates()}
 	open, remote, learned := n.core.OpenRequests(), n.core.RequestIDs().Remote(now), n.core.LearnedState()
 	type row struct {
-		entry  *serverEntry
+		entry  *endpoints.Endpoint
 		addr   string
 		number uint32
 	}
@@ -43,7 +44,7 @@
 			indexes[learned.Servers[i].ID] = i + 1
 		}
 		for _, r := range rows {
-			server := r.entry.storedServer(r.addr)
+			server := storedServer(r.entry, r.addr)
 			if i := indexes[r.number] - 1; i >= 0 {
 				server.Stats = state.StatsOf(learned.Servers[i].ServerStats)
 			}
@@ -57,7 +58,7 @@
 }
 
 // storedServer returns an entry of the server list as the state has it. Later lists may leave the address out.
-func (e *serverEntry) storedServer(addr string) state.Server {
+func storedServer(e *endpoints.Endpoint, addr string) state.Server {
 	return state.Server{ID: e.ID, Addr: addr, Zone: e.Zone, ServerType: e.Kind, Cell: e.Cell, State: e.State, StartedMS: e.StartedMS}
 }
 
@@ -66,7 +67,7 @@
 	if p := n.handover.persister; p != nil && p.settings.Fleet != "" {
 		return p.settings.Fleet
 	}
-	return n.discovery.addr
+	return n.discovery.client.Addr()
 }
 
 // timeList converts a map from ids to times into the state's list.
@@ -106,9 +107,9 @@
 	if s.Drained {
 		n.lifecycle.enter(drained)
 	}
-	list := serverList{Version: s.ListVersion, Full: true}
+	list := endpoints.List{Version: s.ListVersion, Full: true}
 	for _, server := range s.Servers {
-		list.Servers = append(list.Servers, serverEntry{ID: server.ID, Addr: server.Addr, Zone: server.Zone, Kind: server.ServerType, Cell: server.Cell, State: server.State, StartedMS: server.StartedMS})
+		list.Servers = append(list.Servers, endpoints.Endpoint{ID: server.ID, Addr: server.Addr, Zone: server.Zone, Kind: server.ServerType, Cell: server.Cell, State: server.State, StartedMS: server.StartedMS})
 	}
 	if len(list.Servers) > 0 {
 		n.discovery.fullListPending = s.Fleet != n.fleetName() // the versions are not this discovery's
@@ -140,7 +141,7 @@
 	}
 	var all []state.Server
 	for _, listed := range n.serversByID {
-		server := listed.listEntry.storedServer(listed.Addr)
+		server := storedServer(listed.listEntry, listed.Addr)
 		if stored := learned[listed.ID]; stored != nil && stored.StartedMS == server.StartedMS && stored.Addr == server.Addr {
 			server.Stats = stored.Stats
 		}
--- a/internal/node/stub_control_test.go
+++ b/internal/node/stub_control_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"testing"
 
+	"portstall/internal/endpoints"
 	"portstall/internal/lab/standin"
 	"portstall/internal/resource"
 )
@@ -72,13 +73,13 @@
 }
 
 // newControlledNode starts a node that follows control, and returns once that has its first configuration.
-func newControlledNode(t testing.TB, control *stubControl, discovery *stubDiscovery, product string, more func(*Config), known ...serverEntry) *testNode {
+func newControlledNode(t testing.TB, control *stubControl, discovery *stubDiscovery, product string, more func(*Config), known ...endpoints.Endpoint) *testNode {
 	t.Helper()
 	return newControlledSuccessor(t, nil, control, discovery, product, more, known...)
 }
 
 // newControlledSuccessor starts a node like newControlledNode does, with a predecessor's state; old may be nil.
-func newControlledSuccessor(t testing.TB, old *handedState, control *stubControl, discovery *stubDiscovery, product string, more func(*Config), known ...serverEntry) *testNode {
+func newControlledSuccessor(t testing.TB, old *handedState, control *stubControl, discovery *stubDiscovery, product string, more func(*Config), known ...endpoints.Endpoint) *testNode {
 	t.Helper()
 	file := withProductFile(t, product+fmt.Sprintf("control: {addresses: [%q]}\n", control.Addr))
 	var follower *configFollower
--- a/internal/node/testnode_test.go
+++ b/internal/node/testnode_test.go
@@ -18,6 +18,7 @@
 	"testing"
 	"time"
 
+	"portstall/internal/endpoints"
 	"portstall/internal/lab/standin"
 	"portstall/internal/upgrade"
 	"portstall/internal/wire"
@@ -149,8 +150,8 @@
 }
 
 // entry returns the server's entry in a server list, as ready.
-func (s *stubServer) entry(id string) serverEntry {
-	return serverEntry{ID: id, Addr: s.ln.Addr().String(), Zone: "north", Kind: "k", State: "Ready"}
+func (s *stubServer) entry(id string) endpoints.Endpoint {
+	return endpoints.Endpoint{ID: id, Addr: s.ln.Addr().String(), Zone: "north", Kind: "k", State: "Ready"}
 }
 
 // writeResponse writes a response; headers are lines that end in \r\n.
@@ -189,7 +190,7 @@
 // discoveryResponse is one response of a stubDiscovery.
 type discoveryResponse struct {
 	status int
-	list   serverList
+	list   endpoints.List
 }
 
 // newStubDiscovery starts a discovery that holds each call until a test supplies its response.
@@ -250,19 +251,19 @@
 }
 
 // newTestNode starts a node. Its limits on waiting are those of withTestTimeouts unless change sets others.
-func newTestNode(t testing.TB, discoveryStub *stubDiscovery, settings string, change func(*Config), known ...serverEntry) *testNode {
+func newTestNode(t testing.TB, discoveryStub *stubDiscovery, settings string, change func(*Config), known ...endpoints.Endpoint) *testNode {
 	t.Helper()
 	return newSuccessorNode(t, nil, discoveryStub, settings, change, known...)
 }
 
 // newSuccessorNode starts a node with the state of a predecessor; old may be nil.
-func newSuccessorNode(t testing.TB, old *handedState, discoveryStub *stubDiscovery, settings string, change func(*Config), known ...serverEntry) *testNode {
+func newSuccessorNode(t testing.TB, old *handedState, discoveryStub *stubDiscovery, settings string, change func(*Config), known ...endpoints.Endpoint) *testNode {
 	t.Helper()
 	set, err := wire.DecodeSettings([]byte(settings))
 	if err != nil {
 		t.Fatal(err)
 	}
-	cfg := Config{Name: "n0", Discovery: discoveryStub.addr, Seed: 1, Settings: set, Known: serverList{Version: 1, Full: true, Servers: known}, slack: testTimeout}
+	cfg := Config{Name: "n0", Discovery: discoveryStub.addr, Seed: 1, Settings: set, Known: endpoints.List{Version: 1, Full: true, Servers: known}, slack: testTimeout}
 	if change != nil {
 		change(&cfg)
 	}
--- a/internal/node/tunnel_test.go
+++ b/internal/node/tunnel_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"portstall/internal/endpoints"
 	"portstall/internal/lab/standin"
 	"portstall/internal/message"
 )
@@ -29,7 +30,7 @@
 }
 
 // newTunnelNode starts a node with both kinds of tunnel listeners; contracts is appended to its file.
-func newTunnelNode(t *testing.T, contracts string, known ...serverEntry) (node *testNode, socks, connect string) {
+func newTunnelNode(t *testing.T, contracts string, known ...endpoints.Endpoint) (node *testNode, socks, connect string) {
 	t.Helper()
 	digest := sha256.Sum256([]byte("secret"))
 	socks, connect = freeAddr(t), freeAddr(t)
