TestInvalidControlResponses waits for both limits of a response before they expire

Seen once today: "a response that never ends" had no next call within the test's 20 s. Cause, in the test: it let the timers expire as soon as the limit on the head was set. Where the client set the limit on the body in that moment, the head's timer no longer counted and nothing ended the call.

Change: the test waits for both limits.

--- a/internal/node/control_test.go
+++ b/internal/node/control_test.go
@@ -440,7 +440,7 @@
 			})
 			receive(t, "a call with this response", begun)
 			if test.expires {
-				waitFor(t, "the beginning of the response", func() bool { return clock.count() > timers })
+				waitFor(t, "the limits on the head and on the body", func() bool { return clock.count() > timers+1 })
 				clock.expire()
 			}
 			waitFor(t, "the next call", func() bool { return control.CallCount() > calls })
