--- a/internal/node/late_upload_test.go
+++ b/internal/node/late_upload_test.go
@@ -153,3 +153,50 @@
 		})
 	}
 }
+
+// newHangingServer returns a web server that responds to nothing until the test ends.
+func newHangingServer(t *testing.T) *stubServer {
+	release := make(chan struct{})
+	server := newStubServer(t, func(net.Conn, *http.Request, int) bool {
+		<-release
+		return false
+	})
+	t.Cleanup(sync.OnceFunc(func() { close(release) }))
+	return server
+}
+
+// A process whose successor serves already, and that gets SIGTERM while a client still sends it a large request, answers
+// before SIGKILL too.
+func TestLateUploadIsAnsweredAfterHandover(t *testing.T) {
+	t.Parallel()
+	server := newHangingServer(t)
+	discovery := newStubDiscovery(t)
+	node := newTestNode(t, discovery, shortSettings(), withTestTimeouts, server.entry("w1"))
+	cl := node.connectClient(t)
+	text := uploadText("late", false)
+	cl.send(text[:len(text)/2])
+	waitFor(t, "the attempt", func() bool { open, idle := node.pool.Counts(); return open > idle })
+	startSuccessor(t, node.requestHandover(t), discovery, shortSettings())
+	waitFor(t, "the hand-over", func() bool { return node.lifecycle.current() == replaced })
+	node.terminateAndStopAccepting(t)
+	cl.send(text[len(text)/2:])
+	if resp, _ := cl.readResponse(); resp.StatusCode != http.StatusInternalServerError || !resp.Close {
+		t.Errorf("status %d, close %v; want 500 and a close", resp.StatusCode, resp.Close)
+	}
+}
+
+// A large request that comes through a tunnel is answered before SIGKILL as any other.
+func TestLateUploadThroughTunnelIsAnswered(t *testing.T) {
+	t.Parallel()
+	server := newHangingServer(t)
+	node, socks, _ := newTunnelNode(t, "", server.entry("w1"))
+	cl, _ := openTunnel(t, socks, socksOpening("secret"), socksReplyLength)
+	text := uploadText("late", true)
+	cl.send(text[:len(text)/2])
+	waitFor(t, "the attempt", func() bool { open, idle := node.pool.Counts(); return open > idle })
+	node.terminateAndStopAccepting(t)
+	cl.send(text[len(text)/2:])
+	if resp, _ := cl.readResponse(); resp.StatusCode != http.StatusInternalServerError || !resp.Close {
+		t.Errorf("status %d, close %v; want 500 and a close", resp.StatusCode, resp.Close)
+	}
+}
