--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -135,7 +135,7 @@
 		if r.BeforeWait != nil {
 			r.BeforeWait()
 		}
-		verdict = successor.Claim(r.ID, now+r.Timeout)
+		verdict = successor.Claim(r.ID, now+c.LimitTimeout(r.Timeout))
 		c.Lock()
 		c.requestIDs.Resolved(r.ID)
 		now = c.Now()
