--- a/policy/simulation_test.go
+++ b/policy/simulation_test.go
@@ -83,7 +83,7 @@
 type stubServer struct {
 	policy.Entry
 	inFlight  int
-	fault     int // 0 none, 1 errors, 2 silent, 3 no connection
+	fault     int // 0 none, 1 errors, 2 silent, 3 no connection, 4 connections are reset
 	sends     []time.Duration
 	drainedAt []time.Duration // per node: when it was notified that this one drains or was removed, 0 if not
 }
@@ -159,19 +159,17 @@
 			}
 		}
 	}
-	// Injected faults: failing servers, drains with a replacement server that starts cold, lost lists.
+	// Injected faults: failing servers, drains with a replacement server that starts cold, cells whose servers reset
+	// connections until they are replaced at their addresses, lost lists.
 	for at := start + time.Second; at < start+length; at += 2 * time.Second {
 		id := sim.ids[sim.rng.IntN(len(sim.ids))]
-		switch sim.rng.IntN(4) {
+		switch sim.rng.IntN(5) {
 		case 0:
 			sim.servers[id].fault = sim.rng.IntN(4)
 		case 1:
 			old := sim.servers[id].Entry
 			old.State = policy.Draining
-			replacement := old
-			replacement.ID, replacement.State, replacement.Launched = uint32(10000+len(sim.ids)), policy.Active, at
-			sim.servers[replacement.ID] = &stubServer{Entry: replacement, drainedAt: make([]time.Duration, nodes)}
-			sim.ids = append(sim.ids, replacement.ID)
+			replacement := sim.addReplacement(old, at)
 			for n := range sim.nodes {
 				notifiedAt := at + time.Duration(sim.rng.Int64N(int64(time.Second)))
 				sim.scheduleList(notifiedAt, n, policy.ListDelta, old, replacement)
@@ -183,6 +181,8 @@
 			for n := range sim.nodes {
 				sim.scheduleList(at, n, policy.ListFailed)
 			}
+		case 3:
+			sim.replaceCell(at, sim.servers[id].Cell)
 		}
 	}
 	var out []policy.Action
@@ -208,6 +208,33 @@
 	return sim
 }
 
+// addReplacement adds a server that takes the place of another one, and starts cold.
+func (sim *simulation) addReplacement(old policy.Entry, at time.Duration) policy.Entry {
+	replacement := old
+	replacement.ID, replacement.State, replacement.Launched = uint32(10000+len(sim.ids)), policy.Active, at
+	sim.servers[replacement.ID] = &stubServer{Entry: replacement, drainedAt: make([]time.Duration, len(sim.nodes))}
+	sim.ids = append(sim.ids, replacement.ID)
+	return replacement
+}
+
+// replaceCell replaces the servers of a cell one after the other at their addresses. Until then they reset connections,
+// and lists then say of them only that they are gone.
+func (sim *simulation) replaceCell(at time.Duration, cell int64) {
+	for _, id := range sim.ids {
+		old := sim.servers[id]
+		if old.Cell != cell || old.fault == 4 {
+			continue
+		}
+		old.fault = 4
+		at += 100 * ms
+		replacement := sim.addReplacement(old.Entry, at)
+		for n := range sim.nodes {
+			notifiedAt := at + time.Duration(sim.rng.Int64N(int64(300*ms)))
+			sim.scheduleList(notifiedAt, n, policy.ListDelta, policy.Entry{ID: id, State: policy.Removed}, replacement)
+		}
+	}
+}
+
 // recordEvent updates the records by an event that a node is about to get.
 func (sim *simulation) recordEvent(e *scheduledEvent) {
 	requests := sim.requests[e.node]
@@ -317,6 +344,8 @@
 		elapsed = time.Hour
 	case s.fault == 3:
 		outcome, elapsed = policy.ConnectFailed, 100*ms
+	case s.fault == 4:
+		outcome, elapsed = policy.Reset, time.Duration(sim.rng.Int64N(int64(40*ms)))
 	case s.inFlight > 20:
 		outcome, elapsed = policy.QueueFull, ms
 	case sim.rng.IntN(300) == 0:
