An attempt of a large request begins nothing once no time is left for its response

Cause: where the latest time for responses had passed, an attempt of a large request still asked for a connection and could begin its head with a negative X-Deadline before it was given up.

Change: it ends as never sent. wire compares the names of classes as strings.

Measured: the tests of back/http and wire pass with the race detector.

--- a/internal/back/http/attempt.go
+++ b/internal/back/http/attempt.go
@@ -43,6 +43,9 @@
 	upload := a.Request.Body.(*flow.Upload)
 	if !upload.Complete() {
 		a.Timeout = s.Core.LimitTimeout(a.Timeout) // the request's deadline is from before its last byte, and may be later
+		if a.Timeout <= 0 {
+			return core.Result{Outcome: policy.NeverSent}
+		}
 	}
 	timer := time.AfterFunc(a.Timeout, func() { cancel(errTimeout) })
 	defer timer.Stop()
--- a/internal/back/http/final_response_test.go
+++ b/internal/back/http/final_response_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
+	"net"
 	stdhttp "net/http"
 	"testing"
 	"testing/synctest"
@@ -93,3 +95,30 @@
 		})
 	}
 }
+
+// An attempt of a large request that begins once no time is left sends nothing.
+func TestLargeRequestIsNotSentWithoutTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, server, near, far := newPipedSender(t)
+		s.Core = newTestCore(t, core.Options{Clock: systemClock{}, FinalResponseBy: func() time.Duration { return systemClock{}.Now() - time.Second }})
+		dialed := false
+		server.Dial = func(context.Context, *net.Dialer, string) (net.Conn, error) {
+			dialed = true
+			return near, nil
+		}
+		body := &slowBody{100 << 10, 4 << 10, time.Millisecond}
+		upload, err := flow.NewUpload(body, 100<<10)
+		if err != nil {
+			t.Fatal(err)
+		}
+		go upload.Pump(body)
+		res := s.Attempt(t.Context(), &core.Attempt{Request: &core.Request{ID: "r", Class: "view", Body: upload}, Server: server, Timeout: time.Second})
+		if res.Outcome != policy.NeverSent || dialed {
+			t.Errorf("outcome %d, dialed %v; want %d and no connection", res.Outcome, dialed, policy.NeverSent)
+		}
+		upload.Discard()
+		<-upload.Ended()
+		near.Close()
+		far.Close()
+	})
+}
--- a/internal/wire/keys.go
+++ b/internal/wire/keys.go
@@ -106,7 +106,7 @@
 			return &KeyError{elementPath, element == nil}
 		}
 		counterparts := replaced
-		if same := slices.IndexFunc(replaced, func(o map[string]any) bool { return o["name"] == object["name"] }); same >= 0 {
+		if same := slices.IndexFunc(replaced, func(o map[string]any) bool { return nameOf(o) == nameOf(object) }); same >= 0 {
 			counterparts = replaced[same : same+1]
 		}
 		if err := k.check(elementPath, counterparts, object); err != nil {
@@ -116,6 +116,12 @@
 	return nil
 }
 
+// nameOf returns the name of an element of a list; empty if it has none.
+func nameOf(object map[string]any) string {
+	name, _ := object["name"].(string)
+	return name
+}
+
 // valuesOf returns the values that objects have under a name, and whether all of them have one.
 func valuesOf(objects []map[string]any, name string) (values []any, all bool) {
 	for _, object := range objects {
