--- a/internal/back/http/final_response_test.go
+++ b/internal/back/http/final_response_test.go
@@ -112,7 +112,8 @@
 			t.Fatal(err)
 		}
 		go upload.Pump(body)
-		res := s.Attempt(t.Context(), &core.Attempt{Request: &core.Request{ID: "r", Class: "view", Body: upload}, Server: server, Timeout: time.Second})
+		r, _ := stdhttp.NewRequest(stdhttp.MethodPost, "http://backend.local/api", nil)
+		res := s.Attempt(t.Context(), &core.Attempt{Request: &core.Request{ID: "r", Class: "view", Message: r, Body: upload}, Server: server, Timeout: time.Second})
 		if res.Outcome != policy.NeverSent || dialed {
 			t.Errorf("outcome %d, dialed %v; want %d and no connection", res.Outcome, dialed, policy.NeverSent)
 		}
