--- a/internal/back/http/attempt.go
+++ b/internal/back/http/attempt.go
@@ -59,7 +59,7 @@
 		c.Close()
 		upload.Discard() // the sending may wait for the client
 	})
-	sent, err := s.send(a, c, timer)
+	sent, err := s.send(a, upload, c, timer)
 	if neverBegun(err) {
 		if stopWatch() {
 			s.Pool.Put(c)
--- a/internal/back/http/request.go
+++ b/internal/back/http/request.go
@@ -33,8 +33,7 @@
 
 // send sends a request with the forwarded headers, unless the server accepts no new requests. It reports whether the last
 // byte was written. While a body is incomplete the attempt's timer is stopped.
-func (s *Sender) send(a *core.Attempt, c *back.Conn, timer *time.Timer) (bool, error) {
-	upload := a.Request.Body.(*flow.Upload)
+func (s *Sender) send(a *core.Attempt, upload *flow.Upload, c *back.Conn, timer *time.Timer) (bool, error) {
 	if upload.Complete() {
 		err := write(a, upload, c)
 		return err == nil, err
@@ -76,8 +75,9 @@
 }
 
 // startTimeAtLastByte starts the attempt's timer once the last byte of an incomplete body has arrived from the client,
-// whether or not the web server accepts it, or once a byte that arrived later would come too late. The returned function must be called once the sending has ended: it starts
-// the timer if that has not happened yet, unless the sending never began.
+// whether or not the web server accepts it, or once a byte that arrived later would come too late. The returned function
+// must be called once the sending has ended: it starts the timer if that has not happened yet, unless the sending never
+// began.
 func (s *Sender) startTimeAtLastByte(a *core.Attempt, upload *flow.Upload, timer *time.Timer) (ended func(err error)) {
 	start := sync.OnceFunc(func() {
 		s.Core.BodyArrived(a)
--- a/internal/node/server_connections_test.go
+++ b/internal/node/server_connections_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
 	"portstall/internal/core"
 	"portstall/internal/endpoints"
 	"portstall/internal/flow"
--- a/internal/wire/fields.go
+++ b/internal/wire/fields.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/valyala/fastjson"
+
 	"portstall/policy"
 )
 
